Steady probes keep the pace of the relay's own tunnels

Now steady probes go out at two a tunnel, between one a second and one in four; extra looks only where this relay holds clients; as many quick first looks as it holds clients.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -31,7 +31,9 @@
 )
 
 TICK = 250 * MS
-PROBE_EVERY, LOG_EVERY = SECOND, 10 * SECOND
+PROBE_EVERY, PROBE_SELDOM, LOG_EVERY = SECOND, 4 * SECOND, 10 * SECOND
+# Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
+PROBES_A_TUNNEL = 2
 SKIP_FACTOR = 1.5
 # A fleet at even load should not flag half of itself for noise, nor wait for a member to drown.
 BUSY_MARGIN, BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.10, 0.55, 0.85, 0.04
@@ -160,6 +162,7 @@
         self.openings = Fading(3 * SECOND)
         self.tenant_open: dict[int, int] = {}
         self.next_probe = facts.now
+        self.first_looks = 0
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
@@ -649,21 +652,33 @@
             told.add(now, asked)
 
     def _probe(self, now: int) -> None:
+        if not self.facts.probes:
+            return
         ready = [member for cell in self.cells.values() for member in cell]
-        if not ready or not self.facts.probes:
+        if not ready:
             return
+        every = self._probe_every(now)
         if now >= self.next_probe:
-            self.next_probe = now + PROBE_EVERY
+            self.next_probe = now + every
             # The longest unseen first is the turn, and meets new members at once.
             self._ask(now, min(ready, key=lambda member: (member.probe_at, member.tie)))
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
-        doubtful = [member for member in ready if now - member.probe_at >= PROBE_EVERY and (
+        # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
+        doubtful = [member for member in ready if member.tuns and now - member.probe_at >= every and (
             member.strikes or member.asked > DROWNING or now < member.full_until)]
-        # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
-        doubtful = doubtful or [member for member in ready if not member.probe_at]
+        if not doubtful and self.first_looks < len(self.tuns):
+            # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
+            # A relay that holds little needs to know little, and all relays may have started together.
+            doubtful = [member for member in ready if not member.probe_at]
+            self.first_looks += 1
         if doubtful:
             self._ask(now, min(doubtful, key=lambda member: member.probe_at))
 
+    def _probe_every(self, now: int) -> int:
+        """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
+        rate = self.arrivals.read(now) / (self.arrivals.life / SECOND)
+        return int(min(max(PROBE_EVERY, SECOND / max(PROBES_A_TUNNEL * rate, 0.1)), PROBE_SELDOM))
+
     def _ask(self, now: int, member: Member) -> None:
         member.probe_at = now
         self.host.probe(member.ep)
