An old flag is looked at before a tunnel is placed by it

Cause: with one probe in seconds and fifty members, a relay's reports are minutes old; most flags are guesses and the pick is as good as random. The chosen member is probed when its report is older than 2 s, at most three members a tunnel within a quarter of the setup goal; the ordinary path then decides again by what came back.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -44,7 +44,11 @@
 MOVES_A_TICK = 2
 BUSY_HOLD = 2 * SECOND
 OUT_FIRST, OUT_LONGEST = 1500 * MS, 12 * SECOND
-TICK_TOKEN, LIST_TOKEN = 1, 2
+TICK_TOKEN, LIST_TOKEN, LOOK_TOKEN = 1, 2, 3
+# A report older than this says nothing of the member's flag now: more was placed since than it shows.
+FRESH = 2 * SECOND
+# How many members are looked at for one tunnel, within this part of its setup goal.
+LOOKS, LOOK_PART = 3, 0.25
 # Above this mean load a fleet has no room for its own swings. The salt sets the line apart from the cells.
 FULL, LINE_SALT = 0.85, 1 << 40
 # How much a member's kind counts against its own reports, in reports at full load.
@@ -111,8 +115,8 @@
 class Tunnel:
     """A tunnel from its arrival to its end."""
 
-    __slots__ = ("bound", "bound_at", "ep", "give_up", "group", "key", "load", "moved", "opened_at", "out",
-                 "over", "profile", "sent_at", "setups", "tenant", "tried")
+    __slots__ = ("bound", "bound_at", "ep", "give_up", "group", "key", "load", "look_until", "looks", "moved",
+                 "opened_at", "out", "over", "profile", "sent_at", "setups", "tenant", "tried")
 
     def __init__(self, profile: int, tenant: int | None, key: str | None, group: str | None, give_up: int,
                  load: float) -> None:
@@ -124,7 +128,7 @@
         self.load = load
         self.ep = -1
         self.tried: list[int] = []
-        self.setups = 0
+        self.setups = self.looks = self.look_until = 0
         self.sent_at = self.opened_at = 0
         self.out = self.over = self.moved = False
         self.bound = -1  # the first backend where it may have run
@@ -163,6 +167,7 @@
         self.tenant_open: dict[int, int] = {}
         self.next_probe = facts.now
         self.first_looks = 0
+        self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
@@ -338,6 +343,7 @@
             self._learn_load(now, profile, hint)
         tun = Tunnel(profile, tenant, key, group, now + time_budget,
                      hint if hint is not None else self._usual_load(now, profile))
+        tun.look_until = now + int(LOOK_PART * min(self.facts.profiles[profile].setup_goal, time_budget))
         self.tuns[tun_id] = tun
         self.arrivals.add(now, 1)
         # A storm of returning clients says nothing of what the fleet can take.
@@ -358,10 +364,17 @@
     def _place(self, now: int, tun_id: int, tun: Tunnel) -> None:
         # What all setups need answers none when all press it: no more go out than it was seen to bear.
         crowded = self.in_flight >= self.window and self._is_shared(now)
-        member = None if crowded else self._pick(now, tun)
+        member, rule = (None, "") if crowded else self._pick(now, tun)
         if member is None:
             self._give_up(now, tun_id, tun)
             return
+        if self._wants_look(now, tun, member):
+            tun.looks += 1
+            self.looking[tun_id] = member.ep
+            self._ask(now, member)
+            self.host.wake(tun.look_until - now, LOOK_TOKEN)
+            return
+        self.by_rule[rule] += 1
         timeout = self._patience(now, tun)
         if self._is_cold(now, member):
             member.cold_spent += self._size(now, tun)
@@ -373,7 +386,34 @@
         self.in_flight += 1
         self.host.send(tun_id, member.ep, timeout)
 
-    def _pick(self, now: int, tun: Tunnel) -> Member | None:
+    def _wants_look(self, now: int, tun: Tunnel, member: Member) -> bool:
+        """Whether the chosen member's flag is too old to go by.
+
+        With steady probes one member is seen once in as many seconds as there are members, and a relay
+        among hundreds places a tunnel there more seldom still: most flags would be guesses. So the report
+        is fetched when it is needed, and the ordinary path decides again by what it says.
+        """
+        return (self.facts.probes and tun.looks < LOOKS and now < tun.look_until
+                and now - member.seen_at > FRESH and not self._is_cold(now, member))
+
+    def _looked(self, now: int, ep: int) -> None:
+        for tun_id in [tun_id for tun_id, at in self.looking.items() if at == ep]:
+            del self.looking[tun_id]
+            if tun_id in self.tuns:
+                self._place(now, tun_id, self.tuns[tun_id])
+
+    def _look_no_longer(self, now: int) -> None:
+        """What does not answer a probe in time is no better at taking a tunnel."""
+        late = {tun_id: ep for tun_id, ep in self.looking.items()
+                if tun_id not in self.tuns or now >= self.tuns[tun_id].look_until}
+        for ep in late.values():
+            self.members[ep].full_until = max(self.members[ep].full_until, now + BUSY_HOLD)
+        for tun_id in late:
+            del self.looking[tun_id]
+            if tun_id in self.tuns:
+                self._place(now, tun_id, self.tuns[tun_id])
+
+    def _pick(self, now: int, tun: Tunnel) -> tuple[Member | None, str]:
         """The ordinary path, and the departures for when its cell has no member to offer."""
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
@@ -396,24 +436,19 @@
             if free:
                 for member in free:
                     if self._standing_count(now, member, mean) <= max(1.0, SKIP_FACTOR * mean):
-                        rule = "spill" if place else "rank" if member is free[0] else "skip"
-                        self.by_rule[rule] += 1
-                        return member
-                self.by_rule["skip"] += 1
-                return min(free, key=lambda member: self._standing_count(now, member, mean))
+                        return member, "spill" if place else "rank" if member is free[0] else "skip"
+                return min(free, key=lambda member: self._standing_count(now, member, mean)), "skip"
             # A cell may be full while others have room, as keys spread unevenly: the key's next cell.
             fallback = fallback or [(self._standing_count(now, member, mean), member.tie, member)
                                     for member in sound if not self._is_drowning(now, member)]
             drowning += len(sound)
             last += members
         if fallback:
-            self.by_rule["fewest"] += 1
-            return min(fallback)[2]
+            return min(fallback)[2], "fewest"
         if drowning or not last:
             # Clients that are dropped come again at once, and their set-ups keep the backlog where it is.
-            return None
-        self.by_rule["last"] += 1
-        return min(last, key=lambda member: (member.out_until, member.tie))
+            return None, ""
+        return min(last, key=lambda member: (member.out_until, member.tie)), "last"
 
     def _standing_count(self, now: int, member: Member, mean: float) -> float:
         if member.asked < 0 or self._is_cold(now, member):
@@ -634,15 +669,18 @@
         member = self.members[ep]
         if answered:
             self._learn_report(now, member, report)
+        else:
+            member.full_until = max(member.full_until, now + BUSY_HOLD)
+        self._looked(now, ep)
 
     def _learn_report(self, now: int, member: Member, report: LoadReport) -> None:
+        member.seen_at = now
         asked = report.asked if report.asked is not None else report.busy_share
         if asked is None:
             return
         if report.piled_up:
             asked = max(asked, 1.0 + report.piled_up / SECOND)
         member.asked = asked
-        member.seen_at = now
         member.load_then = member.load - max(0.0, member.lately.read(now))
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
@@ -689,6 +727,9 @@
         if token == LIST_TOKEN:
             self.host.watch()
             return
+        if token == LOOK_TOKEN:
+            self._look_no_longer(now)
+            return
         self.host.wake(TICK, TICK_TOKEN)
         self._probe(now)
         if now >= self.next_log:
