A cold member's share grows with what ends over the load, begun by chance

Cause: turns by relay number leave most relays without one while a member warms, and the rate of newcomers times hundreds of relays is noise. Each relay now accrues its own part of the budget; what ends, over the load, tells the rate, which neither a burst nor returning clients disturb.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -53,10 +53,14 @@
 FULL, LINE_SALT = 0.85, 1 << 40
 # How much a member's kind counts against its own reports, in reports at full load.
 KIND_WEIGHT = 0.5
-# Two turns may fall into one span, and each relay guesses the capacity from its own traffic alone.
+# So many members' reports give a fair mean, however large the fleet.
+ENOUGH_SEEN = 8
+# Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
 COLD_CARE = 0.5
-# Part of the newcomers' memory that must have passed, and how fast the rate may rise, a second.
-RATE_AFTER, RATE_RISE = 0.05, 0.01
+# A tunnel heavier than this many usual ones would by itself be most of what a cold member may be sent.
+COLD_HEAVY = 1.5
+# Part of the memory for ended tunnels that must have passed before they tell a rate.
+RATE_AFTER = 0.05
 
 
 class Fading:
@@ -82,7 +86,7 @@
 class Member:
     """What this relay knows of one backend."""
 
-    __slots__ = ("asked", "busy", "cell", "cold_spent", "cold_turn", "delay", "delay_at", "ep",
+    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "ep",
                  "full_until", "kind", "lately", "load", "load_then", "open",
                  "out_until", "pending", "probe_at", "seen_at", "shown", "standing", "started",
                  "strikes", "tie", "tuns", "weight", "zone")
@@ -108,8 +112,8 @@
         self.delay = 0
         self.strikes = 0
         self.shown = (Fading(15 * SECOND), Fading(15 * SECOND))
-        self.cold_spent = 0.0
-        self.cold_turn = -1
+        self.credit = 0.0
+        self.credit_at = 0
 
 
 class Tunnel:
@@ -158,7 +162,7 @@
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals = Fading(10 * SECOND)
         self.retries = Fading(10 * SECOND)
-        self.newcomers = Fading(60 * SECOND)
+        self.ends = Fading(60 * SECOND)
         self.met: dict[str, int] = {}
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
@@ -201,6 +205,8 @@
             member.cell, member.zone, member.kind = entry.cell, entry.zone, entry.kind
             member.weight = entry.weight if self.facts.ranked else 1.0
             member.started, member.standing = entry.started, entry.standing
+            if not member.credit_at:
+                member.credit, member.credit_at = self.chance(), now
         self.cells = {}
         for member in self.members.values():
             if member.standing is Standing.READY:
@@ -289,37 +295,34 @@
         return member.started > 0 and now < member.started + self.facts.warm_within
 
     def _learn_rate(self, now: int) -> None:
-        """Follows the rate of new connections that a warm member can take: what comes, over the load.
+        """Follows this relay's part of the new connections a second that fill a warm member.
 
-        It falls at once and rises slowly: when traffic jumps, the load it brings is yet to come.
+        No relay is told it. In the long run as many end as come, so it is what ends, over the load. What
+        comes would mislead: traffic that jumps, or clients that return, bring their load only later.
         """
         warm = [member.asked for cell in self.cells.values() for member in cell
                 if not self._is_cold(now, member)]
         seen = [asked for asked in warm if asked > 0]
-        up = (now - self.facts.now) / self.newcomers.life
-        # Half of them seen stands for all; fewer would make the fleet look small and its members large.
-        if 2 * len(seen) > len(warm) and up > RATE_AFTER:
-            fresh = self.newcomers.read(now) / -math.expm1(-up) / (self.newcomers.life / SECOND)
-            fresh *= self.facts.relays * len(seen) / sum(seen) / len(warm)
-            self.rate = min(fresh, self.rate * (1 + RATE_RISE * TICK / SECOND)) if self.rate else fresh
+        up = (now - self.facts.now) / self.ends.life
+        if up > RATE_AFTER and 2 * len(seen) > min(len(warm), 2 * ENOUGH_SEEN):
+            ended = self.ends.read(now) / -math.expm1(-up) / (self.ends.life / SECOND)
+            self.rate = ended * len(seen) / sum(seen) / len(warm)
 
     def _cold_allows(self, now: int, member: Member, size: float) -> bool:
-        """Whether this relay's share of a cold member's budget covers a tunnel of this size."""
+        """Whether a tunnel is within this relay's share of a cold member's budget.
+
+        The share grows with time and is spent a tunnel at a time. It starts anywhere below one tunnel, by
+        chance: hundreds of relays, each with a share of a fraction of a tunnel, come to their first at
+        different times, and together keep the pace that one relay alone would keep.
+        """
         facts = self.facts
         if not self._is_cold(now, member):
             return True
-        if not self.rate:
-            return False
-        share = facts.cold_from + (1 - facts.cold_from) * (now - member.started) / facts.warm_within
-        budget = COLD_CARE * facts.fall_multiple * share * self.rate * facts.fall_span / SECOND
-        # Often one tunnel is all that the relays together may send: they take turns of a span each, so
-        # that no span sees more than two of them.
-        turn = (now - member.started) // facts.fall_span
-        if turn % facts.relays != facts.me % facts.relays:
-            return False
-        if member.cold_turn != turn:
-            member.cold_turn, member.cold_spent = turn, 0.0
-        return member.cold_spent + size <= budget
+        part = facts.cold_from + (1 - facts.cold_from) * (now - member.started) / facts.warm_within
+        grown = COLD_CARE * facts.fall_multiple * part * self.rate * (now - member.credit_at) / SECOND
+        member.credit = min(member.credit + grown, 1.0 + size)
+        member.credit_at = now
+        return member.credit >= 1.0 and size <= COLD_HEAVY
 
     def _usual_load(self, now: int, profile: int) -> float:
         work, count = self.loads[profile]
@@ -346,9 +349,8 @@
         tun.look_until = now + int(LOOK_PART * min(self.facts.profiles[profile].setup_goal, time_budget))
         self.tuns[tun_id] = tun
         self.arrivals.add(now, 1)
-        # A storm of returning clients says nothing of what the fleet can take.
+        # A storm of returning clients says nothing of what is asked for.
         if not returning and key not in self.met:
-            self.newcomers.add(now, 1)
             self.asked_for[profile].add(now, 1)
         if key is not None:
             self.met[key] = now
@@ -377,7 +379,7 @@
         self.by_rule[rule] += 1
         timeout = self._patience(now, tun)
         if self._is_cold(now, member):
-            member.cold_spent += self._size(now, tun)
+            member.credit -= self._size(now, tun)
         tun.ep, tun.sent_at, tun.out = member.ep, now, True
         tun.setups += 1
         tun.tried.append(member.ep)
@@ -434,6 +436,8 @@
             free = [member for member in sound if not self._is_busy(now, member, limit)]
             mean = sum(member.open for member in self.cells[cell]) / len(self.cells[cell])
             if free:
+                # What a cold member may be sent is little and soon lapses, so it goes before the others.
+                free.sort(key=lambda member: not self._is_cold(now, member))
                 for member in free:
                     if self._standing_count(now, member, mean) <= max(1.0, SKIP_FACTOR * mean):
                         return member, "spill" if place else "rank" if member is free[0] else "skip"
@@ -609,6 +613,8 @@
             if outcome not in NEVER_RAN and tun.bound < 0:
                 tun.bound, tun.bound_at = ep, tun.sent_at
             self._learn_failure(now, member, outcome, took)
+        elif outcome is Outcome.DONE:
+            self.ends.add(now, 1)
         elif outcome is Outcome.RESET and member.standing is Standing.READY:
             # The server dropped a running connection: the design's third sign of a busy one.
             member.full_until = now + BUSY_HOLD
