--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -56,11 +56,9 @@
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
-COLD_CARE = 0.5
+COLD_CARE = 0.35
 # A tunnel heavier than this many usual ones would by itself be most of what a cold member may be sent.
 COLD_HEAVY = 1.5
-# Part of the memory for ended tunnels that must have passed before they tell a rate.
-RATE_AFTER = 0.05
 
 
 class Fading:
@@ -162,7 +160,6 @@
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals = Fading(10 * SECOND)
         self.retries = Fading(10 * SECOND)
-        self.ends = Fading(60 * SECOND)
         self.met: dict[str, int] = {}
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
@@ -295,18 +292,17 @@
         return member.started > 0 and now < member.started + self.facts.warm_within
 
     def _learn_rate(self, now: int) -> None:
-        """Follows this relay's part of the new connections a second that fill a warm member.
+        """Follows this relay's part of the new connections a second that would fill a member as it warms.
 
-        No relay is told it. In the long run as many end as come, so it is what ends, over the load. What
-        comes would mislead: traffic that jumps, or clients that return, bring their load only later.
+        No relay is told it. It is what a warm member holds, over its load, in the time it takes to warm: a
+        cold one can't take connections faster than that. Neither a burst nor returning clients disturb it.
         """
-        warm = [member.asked for cell in self.cells.values() for member in cell
-                if not self._is_cold(now, member)]
-        seen = [asked for asked in warm if asked > 0]
-        up = (now - self.facts.now) / self.ends.life
-        if up > RATE_AFTER and 2 * len(seen) > min(len(warm), 2 * ENOUGH_SEEN):
-            ended = self.ends.read(now) / -math.expm1(-up) / (self.ends.life / SECOND)
-            self.rate = ended * len(seen) / sum(seen) / len(warm)
+        warm = [member for cell in self.cells.values() for member in cell if not self._is_cold(now, member)]
+        seen = [member.asked for member in warm if member.asked > 0]
+        if 2 * len(seen) > min(len(warm), 2 * ENOUGH_SEEN):
+            # Setups that are still out, as while all wait for a slow store, bring no load yet.
+            held = sum(member.open - member.pending for member in warm) / len(warm)
+            self.rate = held * len(seen) / sum(seen) / (self.facts.warm_within / SECOND)
 
     def _cold_allows(self, now: int, member: Member, size: float) -> bool:
         """Whether a tunnel is within this relay's share of a cold member's budget.
@@ -613,8 +609,6 @@
             if outcome not in NEVER_RAN and tun.bound < 0:
                 tun.bound, tun.bound_at = ep, tun.sent_at
             self._learn_failure(now, member, outcome, took)
-        elif outcome is Outcome.DONE:
-            self.ends.add(now, 1)
         elif outcome is Outcome.RESET and member.standing is Standing.READY:
             # The server dropped a running connection: the design's third sign of a busy one.
             member.full_until = now + BUSY_HOLD
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,6 +6,7 @@
 from itertools import pairwise
 
 from ledger import MS, SECOND, START, Case, fleet, listed
+from pytest import approx
 
 from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK
 from cedarledge.terms import ListForm, Outcome, Standing
@@ -184,7 +185,8 @@
         ledger.run(100 * MS)
         tun = ledger.arrive(key=f"early {number}", hint=100.0)
         ledger.open(tun)
-        ledger.end(tun, Outcome.DONE)
+        for ep in range(3):
+            ledger.report(ep, 0.6)
     ledger.tell(ListForm.CHANGES, listed(7, started=ledger.now - 2 * SECOND, cells=1))
     for _ in range(6):
         for ep in range(3):
@@ -206,12 +208,12 @@
         ledger.balancer.members[0].probe_at = 0
         tun = ledger.arrive(key=str(number))
         ledger.open(tun)
-        ledger.end(tun, Outcome.DONE)
     assert not ledger.balancer.rate
     for ep in range(8):
         ledger.report(ep, 0.5)
+    ledger.arrive(key="out")
     ledger.run(SECOND)
-    assert 0 < ledger.balancer.rate < 4
+    assert ledger.balancer.rate == approx(60 / 8 / 0.5 / 10)
 
 
 def test_a_referenced_tunnel_is_not_repeated_once_its_window_has_lapsed() -> None:
