Own changes count for the other relays as far as they are evidence

Cause: one connection placed here counted as hundreds, so a member was full on paper after one tunnel and the rest of the fleet took the load by chance. The count for the others now follows how many tunnels of its own a relay expects in a member's share since its report.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -57,6 +57,8 @@
 FULL, LINE_SALT = 0.85, 1 << 40
 # How much a member's kind counts against its own reports, in reports at full load.
 KIND_WEIGHT = 0.5
+# Tunnels of its own in a member's share at which a relay's own change counts half for the others.
+ECHO_HALF = 0.1
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -160,7 +162,7 @@
         self.loads = [(Fading(60 * SECOND), Fading(60 * SECOND)) for _ in rows]
         self.asked_for = [Fading(60 * SECOND) for _ in rows]
         self.line = [(0.0, 1.0) for _ in rows]
-        self.yielding = self.rate = 0.0
+        self.yielding = self.rate = self.arrival_rate = 0.0
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals = Fading(10 * SECOND)
         self.retries = Fading(10 * SECOND)
@@ -245,7 +247,11 @@
         capacity = self._capacity(now, member)
         if not capacity:
             return member.asked
-        return max(0.0, member.asked + self.facts.relays * (member.load - member.load_then) / capacity)
+        # How often this relay has placed there since tells how far its own change stands for all of them:
+        # well where it is a few, not at all where it is a fraction of one.
+        own = self.arrival_rate * (now - member.seen_at) / SECOND
+        echo = 1 + (self.facts.relays - 1) * own / (own + ECHO_HALF)
+        return max(0.0, member.asked + echo * (member.load - member.load_then) / capacity)
 
     def _fleet(self, now: int) -> float:
         """The mean load that the ready members report, -1 while unknown."""
@@ -738,6 +744,8 @@
             self._look_no_longer(now)
             return
         self.host.wake(TICK, TICK_TOKEN)
+        self.arrival_rate = (self.arrivals.read(now) / (self.arrivals.life / SECOND)
+                             / max(1, sum(len(cell) for cell in self.cells.values())))
         self._probe(now)
         if now >= self.next_log:
             self.next_log = now + LOG_EVERY
