--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -57,8 +57,6 @@
 FULL, LINE_SALT = 0.85, 1 << 40
 # How much a member's kind counts against its own reports, in reports at full load.
 KIND_WEIGHT = 0.5
-# And how much more where a relay holds few connections for each member.
-FEW_HELD = 2
 # Tunnels of its own in a member's share at which a relay's own change counts half for the others.
 ECHO_HALF = 0.1
 # So many members' reports give a fair mean, however large the fleet.
@@ -159,7 +157,6 @@
         self.chance = source.random
         self.members: dict[int, Member] = {}
         self.cells: dict[int, list[Member]] = {}
-        self.ready = 0  # members in all cells
         self.tuns: dict[int, Tunnel] = {}
         rows = facts.profiles
         self.loads = [(Fading(60 * SECOND), Fading(60 * SECOND)) for _ in rows]
@@ -218,7 +215,6 @@
         for member in self.members.values():
             if member.standing is Standing.READY:
                 self.cells.setdefault(member.cell, []).append(member)
-        self.ready = sum(len(cell) for cell in self.cells.values())
         for cell in self.cells.values():
             cell.sort(key=lambda member: (-member.weight, member.tie))
 
@@ -236,9 +232,8 @@
         if kind is None or kind[1].read(now) < 0.5:
             return 0.0
         usual = kind[0].read(now) / kind[1].read(now)
-        # A relay that holds a fraction of a connection at a member has seen nothing of that one.
-        weight = KIND_WEIGHT * (1 + FEW_HELD * self.ready / (len(self.tuns) + 1))
-        return (member.shown[0].read(now) + weight * usual) / (member.shown[1].read(now) + weight)
+        return ((member.shown[0].read(now) + KIND_WEIGHT * usual)
+                / (member.shown[1].read(now) + KIND_WEIGHT))
 
     def _asked(self, now: int, member: Member) -> float:
         """The load asked of a member over what it can do, with the changes since its report.
@@ -702,8 +697,7 @@
         member.load_then = member.load - max(0.0, member.lately.read(now))
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
-        # Members where this relay holds nothing count too, or those where it holds one would look large.
-        if not self._is_cold(now, member) and 0.05 < asked < 1.2:
+        if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < 1.2:
             own, told = self.capacity.setdefault(member.kind, (Fading(40 * SECOND), Fading(40 * SECOND)))
             own.add(now, member.load * self.facts.relays)
             told.add(now, asked)
@@ -750,7 +744,8 @@
             self._look_no_longer(now)
             return
         self.host.wake(TICK, TICK_TOKEN)
-        self.arrival_rate = (self.arrivals.read(now) / (self.arrivals.life / SECOND) / max(1, self.ready))
+        self.arrival_rate = (self.arrivals.read(now) / (self.arrivals.life / SECOND)
+                             / max(1, sum(len(cell) for cell in self.cells.values())))
         self._probe(now)
         if now >= self.next_log:
             self.next_log = now + LOG_EVERY
