The cold rate leaves out members that report work piled up

Cause: hung members report nine times their load and doubled the mean, which halved what cold members were sent.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -59,6 +59,8 @@
 KIND_WEIGHT = 0.5
 # Tunnels of its own in a member's share at which a relay's own change counts half for the others.
 ECHO_HALF = 0.1
+# Past this a report tells of work piled up more than of what the connections ask.
+SOUND_LOAD = 1.2
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -309,11 +311,12 @@
         cold one can't take connections faster than that. Neither a burst nor returning clients disturb it.
         """
         warm = [member for cell in self.cells.values() for member in cell if not self._is_cold(now, member)]
-        seen = [member.asked for member in warm if member.asked > 0]
+        # A hung member says many times its load, and holds no more for it.
+        seen = [member for member in warm if 0 < member.asked < SOUND_LOAD]
         if 2 * len(seen) > min(len(warm), 2 * ENOUGH_SEEN):
             # Setups that are still out, as while all wait for a slow store, bring no load yet.
-            held = sum(member.open - member.pending for member in warm) / len(warm)
-            self.rate = held * len(seen) / sum(seen) / (self.facts.warm_within / SECOND)
+            held = sum(member.open - member.pending for member in seen)
+            self.rate = held / sum(member.asked for member in seen) / (self.facts.warm_within / SECOND)
 
     def _cold_allows(self, now: int, member: Member, size: float) -> bool:
         """Whether a tunnel is within this relay's share of a cold member's budget.
@@ -697,7 +700,7 @@
         member.load_then = member.load - max(0.0, member.lately.read(now))
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
-        if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < 1.2:
+        if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < SOUND_LOAD:
             own, told = self.capacity.setdefault(member.kind, (Fading(40 * SECOND), Fading(40 * SECOND)))
             own.add(now, member.load * self.facts.relays)
             told.add(now, asked)
