--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -813,8 +813,9 @@
         settled.sort(reverse=True)
         moved = 0
         # One among hundreds holds a connection or two there, and its part of the surplus is less than one of
-        # them. So what is left over is settled by a draw, once a report: together the relays move their part.
-        draws = now - member.eased_at > EASE
+        # them. So what is left over is settled by a draw, once for each report that can show what the last
+        # draws did: together the relays move their part.
+        draws = member.seen_at - member.eased_at > EASE
         for load, tun_id in settled:
             if moved >= most or load <= 0:
                 break
@@ -824,5 +825,6 @@
             surplus = max(0.0, surplus - load)
             moved += 1
             self._move(tun_id)
-        member.eased_at = now if now - member.eased_at > EASE else member.eased_at
+        if member.seen_at - member.eased_at > EASE:
+            member.eased_at = now
         return moved
