--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -43,7 +43,7 @@
 RELIEF, DRAIN_TIME, ROOM = 0.8, 2 * SECOND, 0.9
 MOVES_A_TICK = 2
 # How long moves take to show in reports, which are refreshed in turn and arrive late.
-EASE = 2 * SECOND
+EASE = 1500 * MS
 # The most of its connections that a relay lets go in a tick while the fleet is full.
 SHED_PART = 0.04
 BUSY_HOLD = 2 * SECOND
@@ -92,7 +92,8 @@
 class Member:
     """What this relay knows of one backend."""
 
-    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "eased_at", "ep",
+    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "eased",
+                 "eased_at", "ep",
                  "full_until", "kind", "lately", "load", "load_then", "mark", "open",
                  "out_until", "pending", "probe_at", "seen_at", "shown", "standing", "started",
                  "strikes", "tie", "tuns", "weight", "zone")
@@ -112,6 +113,7 @@
     def forget(self) -> None:
         """What a fresh start of the backend makes untrue."""
         self.asked = -1.0
+        self.eased = 0.0
         self.load_then = 0.0
         self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = 0
         self.busy = False
@@ -698,6 +700,8 @@
             asked = max(asked, 1.0 + report.piled_up / SECOND)
         member.asked = asked
         member.load_then = member.load - max(0.0, member.lately.read(now))
+        if now - member.eased_at > EASE:
+            member.eased = 0.0
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
         if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < SOUND_LOAD:
@@ -784,7 +788,7 @@
         # A wave of clients coming back at once can drown what all setups need.
         left = MOVES_A_TICK
         for part, member in sick:
-            left -= self._move_from(now, member, part * member.load, left)
+            left -= self._move_from(now, member, part, left)
 
     def _shed(self, now: int) -> None:
         """Ends, in order, open connections that would be declined if they came now.
@@ -807,24 +811,31 @@
         self.tuns[tun_id].moved = True
         self.host.move(tun_id)
 
-    def _move_from(self, now: int, member: Member, surplus: float, most: int) -> int:
+    def _move_from(self, now: int, member: Member, part: float, most: int) -> int:
+        """Moves this relay's part of a member's surplus, once for each report that shows what moved last."""
+        surplus = part * (member.load + member.eased) - member.eased
         settled = [(tun.load, tun_id) for tun_id, tun in member.tuns.items()
                    if self._is_settled(now, tun)]
         settled.sort(reverse=True)
+        fitting = [pair for pair in settled if 0 < pair[0] <= surplus]
         moved = 0
-        # One among hundreds holds a connection or two there, and its part of the surplus is less than one of
-        # them. So what is left over is settled by a draw, once for each report that can show what the last
-        # draws did: together the relays move their part.
-        draws = member.seen_at - member.eased_at > EASE
-        for load, tun_id in settled:
-            if moved >= most or load <= 0:
-                break
-            if load > surplus and not (draws and self.chance() * load < surplus):
-                continue
-            draws = draws and load <= surplus
-            surplus = max(0.0, surplus - load)
-            moved += 1
-            self._move(tun_id)
-        if member.seen_at - member.eased_at > EASE:
+        for load, tun_id in fitting:
+            if moved < most and load <= surplus:
+                surplus -= load
+                moved += 1
+                member.eased += load
+                member.load_then -= load
+                self._move(tun_id)
+        if settled and not fitting and surplus > 0 and most > 0:
+            # One among hundreds holds a connection or two there, and its part is less than any of them. So a
+            # draw settles it, and together the relays move their part.
+            member.eased += surplus
+            for load, tun_id in settled:
+                if self.chance() * load < surplus:
+                    moved = 1
+                    member.load_then -= load
+                    self._move(tun_id)
+                    break
+        if moved or not fitting:
             member.eased_at = now
         return moved
