--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -61,6 +61,8 @@
 ECHO_HALF = 0.1
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
+# The fleet's mean is of what was seen in turn in this time, newer reports counting more.
+FLEET_WINDOW = 20 * SECOND
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -96,7 +98,7 @@
                  "eased_at", "ep",
                  "full_until", "kind", "lately", "load", "load_then", "mark", "open",
                  "out_until", "pending", "probe_at", "seen_at", "shown", "standing", "started",
-                 "strikes", "tie", "tuns", "weight", "zone")
+                 "strikes", "tie", "tuns", "turn_at", "weight", "zone")
 
     def __init__(self, ep: int, tie: float) -> None:
         self.ep = ep
@@ -106,7 +108,7 @@
         self.lately = Fading(SECOND)
         self.tuns: dict[int, Tunnel] = {}
         self.started = -1
-        self.probe_at = 0
+        self.probe_at = self.turn_at = 0
         self.standing = Standing.GONE
         self.forget()
 
@@ -260,14 +262,20 @@
     def _fleet(self, now: int) -> float:
         """The mean load that the ready members report, -1 while unknown."""
         total = weight = 0.0
+        # A relay that looks seldom must not judge by what was true a minute ago, nor by one or two members.
+        window = max(FLEET_WINDOW, ENOUGH_SEEN * self._probe_every(now))
         for cell in self.cells.values():
             for member in cell:
-                asked = self._asked(now, member)
-                # A cold member's idle cores can't be had at will, so they are no reason to call others busy.
-                if asked >= 0 and not self._is_out(now, member) and not self._is_cold(now, member):
-                    size = self._capacity(now, member) or 1.0
-                    total += min(asked, 3.0) * size
-                    weight += size
+                age = now - member.turn_at
+                # Only what was seen in turn: a large fleet's doubtful members are looked at more often, and
+                # by them every fleet would seem full. A cold member's idle cores can't be had at will, so
+                # they are no reason to call others busy.
+                if (member.asked < 0 or age >= window or self._is_out(now, member)
+                        or self._is_cold(now, member)):
+                    continue
+                size = (self._capacity(now, member) or 1.0) * (window - age)
+                total += min(self._asked(now, member), 3.0) * size
+                weight += size
         return total / weight if weight else -1.0
 
     def _is_busy(self, now: int, member: Member, limit: float) -> bool:
@@ -719,7 +727,9 @@
         if now >= self.next_probe:
             self.next_probe = now + every
             # The longest unseen first is the turn, and meets new members at once.
-            self._ask(now, min(ready, key=lambda member: (member.probe_at, member.tie)))
+            turn = min(ready, key=lambda member: (member.turn_at, member.tie))
+            turn.turn_at = now
+            self._ask(now, turn)
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in ready if member.tuns and now - member.probe_at >= every and (
@@ -728,6 +738,8 @@
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
             doubtful = [member for member in ready if not member.probe_at]
+            for member in doubtful[:1]:
+                member.turn_at = now
             self.first_looks += 1
         if doubtful:
             self._ask(now, min(doubtful, key=lambda member: member.probe_at))
