--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -43,7 +43,9 @@
 RELIEF, DRAIN_TIME, ROOM = 0.8, 2 * SECOND, 0.9
 MOVES_A_TICK = 2
 # How long moves take to show in reports, which are refreshed in turn and arrive late.
-EASE = 1500 * MS
+EASE = 2 * SECOND
+# With more connections than this at a member some of them fit any surplus worth a move.
+FEW_HELD = 3
 # The most of its connections that a relay lets go in a tick while the fleet is full.
 SHED_PART = 0.04
 BUSY_HOLD = 2 * SECOND
@@ -61,8 +63,6 @@
 ECHO_HALF = 0.1
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
-# The fleet's mean is of what was seen in turn in this time, newer reports counting more.
-FLEET_WINDOW = 20 * SECOND
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -94,11 +94,10 @@
 class Member:
     """What this relay knows of one backend."""
 
-    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "eased",
-                 "eased_at", "ep",
+    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "eased_at", "ep",
                  "full_until", "kind", "lately", "load", "load_then", "mark", "open",
                  "out_until", "pending", "probe_at", "seen_at", "shown", "standing", "started",
-                 "strikes", "tie", "tuns", "turn_at", "weight", "zone")
+                 "strikes", "tie", "tuns", "weight", "zone")
 
     def __init__(self, ep: int, tie: float) -> None:
         self.ep = ep
@@ -108,14 +107,13 @@
         self.lately = Fading(SECOND)
         self.tuns: dict[int, Tunnel] = {}
         self.started = -1
-        self.probe_at = self.turn_at = 0
+        self.probe_at = 0
         self.standing = Standing.GONE
         self.forget()
 
     def forget(self) -> None:
         """What a fresh start of the backend makes untrue."""
         self.asked = -1.0
-        self.eased = 0.0
         self.load_then = 0.0
         self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = 0
         self.busy = False
@@ -262,20 +260,14 @@
     def _fleet(self, now: int) -> float:
         """The mean load that the ready members report, -1 while unknown."""
         total = weight = 0.0
-        # A relay that looks seldom must not judge by what was true a minute ago, nor by one or two members.
-        window = max(FLEET_WINDOW, ENOUGH_SEEN * self._probe_every(now))
         for cell in self.cells.values():
             for member in cell:
-                age = now - member.turn_at
-                # Only what was seen in turn: a large fleet's doubtful members are looked at more often, and
-                # by them every fleet would seem full. A cold member's idle cores can't be had at will, so
-                # they are no reason to call others busy.
-                if (member.asked < 0 or age >= window or self._is_out(now, member)
-                        or self._is_cold(now, member)):
-                    continue
-                size = (self._capacity(now, member) or 1.0) * (window - age)
-                total += min(self._asked(now, member), 3.0) * size
-                weight += size
+                asked = self._asked(now, member)
+                # A cold member's idle cores can't be had at will, so they are no reason to call others busy.
+                if asked >= 0 and not self._is_out(now, member) and not self._is_cold(now, member):
+                    size = self._capacity(now, member) or 1.0
+                    total += min(asked, 3.0) * size
+                    weight += size
         return total / weight if weight else -1.0
 
     def _is_busy(self, now: int, member: Member, limit: float) -> bool:
@@ -708,8 +700,6 @@
             asked = max(asked, 1.0 + report.piled_up / SECOND)
         member.asked = asked
         member.load_then = member.load - max(0.0, member.lately.read(now))
-        if now - member.eased_at > EASE:
-            member.eased = 0.0
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
         if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < SOUND_LOAD:
@@ -727,9 +717,7 @@
         if now >= self.next_probe:
             self.next_probe = now + every
             # The longest unseen first is the turn, and meets new members at once.
-            turn = min(ready, key=lambda member: (member.turn_at, member.tie))
-            turn.turn_at = now
-            self._ask(now, turn)
+            self._ask(now, min(ready, key=lambda member: (member.probe_at, member.tie)))
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in ready if member.tuns and now - member.probe_at >= every and (
@@ -738,8 +726,6 @@
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
             doubtful = [member for member in ready if not member.probe_at]
-            for member in doubtful[:1]:
-                member.turn_at = now
             self.first_looks += 1
         if doubtful:
             self._ask(now, min(doubtful, key=lambda member: member.probe_at))
@@ -800,7 +786,7 @@
         # A wave of clients coming back at once can drown what all setups need.
         left = MOVES_A_TICK
         for part, member in sick:
-            left -= self._move_from(now, member, part, left)
+            left -= self._move_from(now, member, part * member.load, left)
 
     def _shed(self, now: int) -> None:
         """Ends, in order, open connections that would be declined if they came now.
@@ -823,31 +809,24 @@
         self.tuns[tun_id].moved = True
         self.host.move(tun_id)
 
-    def _move_from(self, now: int, member: Member, part: float, most: int) -> int:
-        """Moves this relay's part of a member's surplus, once for each report that shows what moved last."""
-        surplus = part * (member.load + member.eased) - member.eased
+    def _move_from(self, now: int, member: Member, surplus: float, most: int) -> int:
         settled = [(tun.load, tun_id) for tun_id, tun in member.tuns.items()
                    if self._is_settled(now, tun)]
         settled.sort(reverse=True)
-        fitting = [pair for pair in settled if 0 < pair[0] <= surplus]
         moved = 0
-        for load, tun_id in fitting:
-            if moved < most and load <= surplus:
-                surplus -= load
-                moved += 1
-                member.eased += load
-                member.load_then -= load
-                self._move(tun_id)
-        if settled and not fitting and surplus > 0 and most > 0:
-            # One among hundreds holds a connection or two there, and its part is less than any of them. So a
-            # draw settles it, and together the relays move their part.
-            member.eased += surplus
-            for load, tun_id in settled:
-                if self.chance() * load < surplus:
-                    moved = 1
-                    member.load_then -= load
-                    self._move(tun_id)
-                    break
-        if moved or not fitting:
+        # One among hundreds holds a connection or two there, and its part of the surplus is less than one of
+        # them. So what is left over is settled by a draw, once for each report that can show what the last
+        # draws did: together the relays move their part.
+        draws = len(settled) <= FEW_HELD and member.seen_at - member.eased_at > EASE
+        for load, tun_id in settled:
+            if moved >= most or load <= 0:
+                break
+            if load > surplus and not (draws and self.chance() * load < surplus):
+                continue
+            draws = draws and load <= surplus
+            surplus = max(0.0, surplus - load)
+            moved += 1
+            self._move(tun_id)
+        if member.seen_at - member.eased_at > EASE:
             member.eased_at = now
         return moved
