--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -60,7 +60,7 @@
 # How much a member's kind counts against its own reports, in reports at full load.
 KIND_WEIGHT = 0.5
 # Tunnels of its own in a member's share at which a relay's own change counts half for the others.
-ECHO_HALF = 0.03
+ECHO_HALF = 0.1
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
 # So many members' reports give a fair mean, however large the fleet.
