--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -41,8 +41,6 @@
 DROWNING = 0.95
 # Moves leave a member this much of what it can do, less what it needs to work off what is piled up.
 RELIEF, DRAIN_TIME, ROOM = 0.8, 2 * SECOND, 0.9
-# And only what is worse off by this than the fleet is moved: elsewhere it would soon be moved again.
-WORSE = 0.25
 MOVES_A_TICK = 2
 # How long moves take to show in reports, which are refreshed in turn and arrive late.
 EASE = 2 * SECOND
@@ -781,7 +779,7 @@
                 # Work is piled up there: until it is done nobody there is served, however little is asked.
                 asked = max(asked, 1.0)
                 target = max(0.0, RELIEF - member.delay / DRAIN_TIME)
-            if asked >= max(DROWNING, fleet + WORSE) and (late or now - member.seen_at < 3 * SECOND):
+            if asked >= DROWNING and (late or now - member.seen_at < 3 * SECOND):
                 # Each relay takes the same part of its own load away: together they take it once.
                 sick.append((1 - target / asked, member))
         sick.sort(key=lambda pair: pair[0], reverse=True)
