Work for a tunnel and a wake-up hardly grows with the fleet

The fleet's mean is summed at most once in 4 ms a member, a wake-up walks only members that hold connections, capacity is worked out only where the relay's own load changed, cells are drawn by integer mixing of one digest, six cells at most are tried for a tunnel.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -53,6 +53,8 @@
 TICK_TOKEN, LIST_TOKEN, LOOK_TOKEN = 1, 2, 3
 # A report older than this says nothing of the member's flag now: more was placed since than it shows.
 FRESH = 2 * SECOND
+# So many cells may be tried for a tunnel: work for one must not grow with the fleet.
+SPILL = 6
 # How many members are looked at for one tunnel, within this part of its setup goal.
 LOOKS, LOOK_PART = 3, 0.25
 # Above this mean load a fleet has no room for its own swings. The salt sets the line apart from the cells.
@@ -63,6 +65,8 @@
 ECHO_HALF = 0.1
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
+# How long a mean is gone by, for each member that it is made of.
+FLEET_CARE = 4 * MS
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -71,6 +75,9 @@
 COLD_HEAVY = 1.5
 
 
+ONES = 2**64 - 1
+
+
 class Fading:
     """A sum that decays with time, brought up to date when read."""
 
@@ -147,10 +154,16 @@
         self.bound_at = 0
 
 
-def draw_of(text: str, salt: int) -> float:
-    """A number in (0, 1) that every relay gets for the same text and salt."""
-    digest = blake2b(text.encode(), digest_size=7, salt=salt.to_bytes(8, "big")).digest()
-    return (int.from_bytes(digest, "big") + 1) / (2**56 + 2)
+def digest_of(text: str) -> int:
+    return int.from_bytes(blake2b(text.encode(), digest_size=8).digest(), "big")
+
+
+def draw_of(digest: int, salt: int) -> float:
+    """A number in (0, 1) that every relay gets for the same digest and salt: splitmix64's last steps."""
+    mixed = (digest ^ (salt + 1) * 0x9E3779B97F4A7C15) & ONES
+    mixed = (mixed ^ mixed >> 30) * 0xBF58476D1CE4E5B9 & ONES
+    mixed = (mixed ^ mixed >> 27) * 0x94D049BB133111EB & ONES
+    return ((mixed ^ mixed >> 31) + 1) / (2**64 + 2**12)
 
 
 class Balancer:
@@ -161,12 +174,15 @@
         self.chance = source.random
         self.members: dict[int, Member] = {}
         self.cells: dict[int, list[Member]] = {}
+        self.ready = 0  # members in all cells
+        self.holding: dict[int, Member] = {}  # those with connections of this relay
         self.tuns: dict[int, Tunnel] = {}
         rows = facts.profiles
         self.loads = [(Fading(60 * SECOND), Fading(60 * SECOND)) for _ in rows]
         self.asked_for = [Fading(60 * SECOND) for _ in rows]
         self.line = [(0.0, 1.0) for _ in rows]
         self.yielding = self.rate = self.arrival_rate = 0.0
+        self.fleet, self.fleet_until = -1.0, 0
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals = Fading(10 * SECOND)
         self.retries = Fading(10 * SECOND)
@@ -219,6 +235,8 @@
         for member in self.members.values():
             if member.standing is Standing.READY:
                 self.cells.setdefault(member.cell, []).append(member)
+        self.ready = sum(len(cell) for cell in self.cells.values())
+        self.fleet_until = 0
         for cell in self.cells.values():
             cell.sort(key=lambda member: (-member.weight, member.tie))
 
@@ -248,7 +266,8 @@
         """
         if member.asked < 0:
             return -1.0
-        capacity = self._capacity(now, member)
+        # Most members of a large fleet hold nothing of this relay's: their capacity need not be worked out.
+        capacity = self._capacity(now, member) if member.load != member.load_then else 0.0
         if not capacity:
             return member.asked
         # How often this relay has placed there since tells how far its own change stands for all of them:
@@ -259,6 +278,14 @@
 
     def _fleet(self, now: int) -> float:
         """The mean load that the ready members report, -1 while unknown."""
+        # Summed for each tunnel it would cost a large fleet more than all else; it moves slowly there.
+        if now >= self.fleet_until:
+            self.fleet_until = now + max(TICK, self.ready * FLEET_CARE)
+            self.fleet = self._fleet_mean(now)
+            self._learn_rate(now)
+        return self.fleet
+
+    def _fleet_mean(self, now: int) -> float:
         total = weight = 0.0
         for cell in self.cells.values():
             for member in cell:
@@ -432,13 +459,14 @@
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
         limit = self._limit(fleet)
-        cells = sorted(self.cells, key=lambda cell: len(self.cells[cell]) / math.log(draw_of(home, cell)))
+        seed = digest_of(home)
+        cells = sorted(self.cells, key=lambda cell: len(self.cells[cell]) / math.log(draw_of(seed, cell)))
         size = self._size(now, tun)
         yields = tun.setups == 0 and self._gives_way(now, tun)
         fallback: list[Member] = []
         last: list[Member] = []
         drowning = 0
-        for place, cell in enumerate(cells):
+        for place, cell in enumerate(cells[:SPILL]):
             members = [member for member in self.cells[cell] if self._may_follow(now, tun, member)
                        and self._cold_allows(now, member, size)]
             if yields:
@@ -447,7 +475,7 @@
             sound = [member for member in members if not self._is_out(now, member)]
             free = [member for member in sound if not self._is_busy(now, member, limit)]
             if self.facts.grouped and tun.group:
-                free.sort(key=lambda member: member.weight / math.log(draw_of(tun.group, member.mark)))
+                free.sort(key=lambda member: member.weight / math.log(draw_of(seed, member.mark)))
             mean = sum(member.open for member in self.cells[cell]) / len(self.cells[cell])
             if free:
                 # What a cold member may be sent is little and soon lapses, so it goes before the others.
@@ -514,7 +542,7 @@
         if not self.yielding:
             return False
         start, width = self.line[tun.profile]
-        place = start + width * (draw_of(tun.key, LINE_SALT) if tun.key else self.chance())
+        place = start + width * (draw_of(digest_of(tun.key), LINE_SALT) if tun.key else self.chance())
         if self._over_share(tun):
             place *= self.facts.over_share_credit
         return place < self.yielding
@@ -564,6 +592,7 @@
         member.open += 1
         member.load += tun.load
         member.tuns[tun_id] = tun
+        self.holding[member.ep] = member
         if tun.tenant is not None:
             self.tenant_open[tun.tenant] = self.tenant_open.get(tun.tenant, 0) + 1
         member.lately.add(now, tun.load)
@@ -572,6 +601,8 @@
         member.open -= 1
         member.load -= tun.load
         del member.tuns[tun_id]
+        if not member.tuns:
+            del self.holding[member.ep]
         if tun.tenant is not None:
             self.tenant_open[tun.tenant] -= 1
         member.lately.add(now, -tun.load)
@@ -708,27 +739,26 @@
             told.add(now, asked)
 
     def _probe(self, now: int) -> None:
-        if not self.facts.probes:
-            return
-        ready = [member for cell in self.cells.values() for member in cell]
-        if not ready:
+        if not self.ready or not self.facts.probes:
             return
         every = self._probe_every(now)
         if now >= self.next_probe:
             self.next_probe = now + every
             # The longest unseen first is the turn, and meets new members at once.
-            self._ask(now, min(ready, key=lambda member: (member.probe_at, member.tie)))
+            self._ask(now, min((member for cell in self.cells.values() for member in cell),
+                               key=lambda member: (member.probe_at, member.tie)))
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
-        doubtful = [member for member in ready if member.tuns and now - member.probe_at >= every and (
-            member.strikes or member.asked > DROWNING or now < member.full_until)]
-        if not doubtful and self.first_looks < len(self.tuns):
+        doubtful = [member for member in self.holding.values()
+                    if now - member.probe_at >= every and member.standing is Standing.READY and (
+                        member.strikes or member.asked > DROWNING or now < member.full_until)]
+        if not doubtful and self.first_looks < min(len(self.tuns), self.ready):
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
-            doubtful = [member for member in ready if not member.probe_at]
+            doubtful = [member for cell in self.cells.values() for member in cell if not member.probe_at]
             self.first_looks += 1
         if doubtful:
-            self._ask(now, min(doubtful, key=lambda member: member.probe_at))
+            self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
 
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
@@ -749,13 +779,11 @@
             self._look_no_longer(now)
             return
         self.host.wake(TICK, TICK_TOKEN)
-        self.arrival_rate = (self.arrivals.read(now) / (self.arrivals.life / SECOND)
-                             / max(1, sum(len(cell) for cell in self.cells.values())))
+        self.arrival_rate = self.arrivals.read(now) / (self.arrivals.life / SECOND) / max(1, self.ready)
         self._probe(now)
         if now >= self.next_log:
             self.next_log = now + LOG_EVERY
             self.host.log("placements " + " ".join(f"{rule} {count}" for rule, count in self.by_rule.items()))
-        self._learn_rate(now)
         self._relieve(now)
 
     def _relieve(self, now: int) -> None:
@@ -769,8 +797,8 @@
         if fleet > ROOM:
             return
         sick = []
-        for member in self.members.values():
-            if not member.tuns or member.standing is not Standing.READY:
+        for member in self.holding.values():
+            if member.standing is not Standing.READY:
                 continue
             asked = self._asked(now, member)
             late = now - member.delay_at < 1500 * MS and self.tightest and member.delay > self.tightest
@@ -795,7 +823,7 @@
         make room for all the others.
         """
         yielding = [(self._asked(now, member) + (now < member.full_until), tun.load, tun_id)
-                    for member in self.members.values() for tun_id, tun in member.tuns.items()
+                    for member in self.holding.values() for tun_id, tun in member.tuns.items()
                     if self._is_settled(now, tun) and self._gives_way(now, tun)]
         yielding.sort(reverse=True)
         most = min(MOVES_A_TICK, int(SHED_PART * len(self.tuns) + self.chance()))
