Ranked cells are kept with the tunnel, probe turns in order

Cause, by a profile of the cut-off incident: lists of hundreds of entries, cells drawn anew at each look and retry, and the search for the longest unseen member.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -134,8 +134,9 @@
 class Tunnel:
     """A tunnel from its arrival to its end."""
 
-    __slots__ = ("bound", "bound_at", "ep", "give_up", "group", "key", "load", "look_until", "looks", "moved",
-                 "opened_at", "out", "over", "profile", "sent_at", "setups", "tenant", "tried")
+    __slots__ = ("bound", "bound_at", "cells", "ep", "give_up", "group", "key", "listing", "load",
+                 "look_until", "looks", "moved", "opened_at", "out", "over", "profile", "seed", "sent_at",
+                 "setups", "tenant", "tried")
 
     def __init__(self, profile: int, tenant: int | None, key: str | None, group: str | None, give_up: int,
                  load: float) -> None:
@@ -152,6 +153,9 @@
         self.out = self.over = self.moved = False
         self.bound = -1  # the first backend where it may have run
         self.bound_at = 0
+        self.listing = -1  # the state of the list that its cells were ranked by
+        self.seed = 0
+        self.cells: list[int] = []
 
 
 def digest_of(text: str) -> int:
@@ -175,6 +179,8 @@
         self.members: dict[int, Member] = {}
         self.cells: dict[int, list[Member]] = {}
         self.ready = 0  # members in all cells
+        self.listing = 0  # counts the changes of the list
+        self.turns: dict[int, Member] = {}  # all members, the longest unseen first
         self.holding: dict[int, Member] = {}  # those with connections of this relay
         self.tuns: dict[int, Tunnel] = {}
         rows = facts.profiles
@@ -219,10 +225,12 @@
             for member in self.members.values():
                 if member.ep not in named:
                     member.standing = Standing.GONE
+        fresh = [Member(entry.ep, self.chance()) for entry in entries if entry.ep not in self.members]
+        self.members |= {member.ep: member for member in fresh}
+        # In an order of its own, or all relays would probe the same new member at once.
+        self.turns |= {member.ep: member for member in sorted(fresh, key=lambda member: member.tie)}
         for entry in entries:
-            member = self.members.get(entry.ep)
-            if member is None:
-                member = self.members[entry.ep] = Member(entry.ep, self.chance())
+            member = self.members[entry.ep]
             if member.started not in (-1, entry.started):
                 member.forget()
             member.cell, member.zone, member.kind = entry.cell, entry.zone, entry.kind
@@ -231,6 +239,7 @@
             member.started, member.standing = entry.started, entry.standing
             if not member.credit_at:
                 member.credit, member.credit_at = self.chance(), now
+        self.listing += 1
         self.cells = {}
         for member in self.members.values():
             if member.standing is Standing.READY:
@@ -459,14 +468,16 @@
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
         limit = self._limit(fleet)
-        seed = digest_of(home)
-        cells = sorted(self.cells, key=lambda cell: len(self.cells[cell]) / math.log(draw_of(seed, cell)))
+        if tun.listing != self.listing:
+            tun.listing, tun.seed = self.listing, digest_of(home)
+            tun.cells = sorted(self.cells, key=lambda cell: len(self.cells[cell])
+                               / math.log(draw_of(tun.seed, cell)))[:SPILL]
         size = self._size(now, tun)
         yields = tun.setups == 0 and self._gives_way(now, tun)
         fallback: list[Member] = []
         last: list[Member] = []
         drowning = 0
-        for place, cell in enumerate(cells[:SPILL]):
+        for place, cell in enumerate(tun.cells):
             members = [member for member in self.cells[cell] if self._may_follow(now, tun, member)
                        and self._cold_allows(now, member, size)]
             if yields:
@@ -475,7 +486,7 @@
             sound = [member for member in members if not self._is_out(now, member)]
             free = [member for member in sound if not self._is_busy(now, member, limit)]
             if self.facts.grouped and tun.group:
-                free.sort(key=lambda member: member.weight / math.log(draw_of(seed, member.mark)))
+                free.sort(key=lambda member: member.weight / math.log(draw_of(tun.seed, member.mark)))
             mean = sum(member.open for member in self.cells[cell]) / len(self.cells[cell])
             if free:
                 # What a cold member may be sent is little and soon lapses, so it goes before the others.
@@ -617,7 +628,7 @@
         self.tuns[tun_id] = tun
         member = self.members.get(ep)
         if member is None:
-            member = self.members[ep] = Member(ep, self.chance())
+            member = self.members[ep] = self.turns[ep] = Member(ep, self.chance())
             member.cell = member.zone = member.kind = member.mark = -1
             member.weight = 1.0
         self._hold(now, tun_id, tun, member)
@@ -744,9 +755,8 @@
         every = self._probe_every(now)
         if now >= self.next_probe:
             self.next_probe = now + every
-            # The longest unseen first is the turn, and meets new members at once.
-            self._ask(now, min((member for cell in self.cells.values() for member in cell),
-                               key=lambda member: (member.probe_at, member.tie)))
+            # The longest unseen first is the turn, and meets new members soon.
+            self._ask(now, self._unseen_longest())
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in self.holding.values()
@@ -755,11 +765,15 @@
         if not doubtful and self.first_looks < min(len(self.tuns), self.ready):
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
-            doubtful = [member for cell in self.cells.values() for member in cell if not member.probe_at]
             self.first_looks += 1
+            member = self._unseen_longest()
+            doubtful = [] if member.probe_at else [member]
         if doubtful:
             self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
 
+    def _unseen_longest(self) -> Member:
+        return next(member for member in self.turns.values() if member.standing is Standing.READY)
+
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
         rate = self.arrivals.read(now) / (self.arrivals.life / SECOND)
@@ -767,6 +781,7 @@
 
     def _ask(self, now: int, member: Member) -> None:
         member.probe_at = now
+        self.turns[member.ep] = self.turns.pop(member.ep)
         self.host.probe(member.ep)
 
     # -- time ------------------------------------------------------------------------------------
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -26,20 +26,16 @@
     """Input that does not follow the wire's page."""
 
 
-class Indices:
+class Indices(dict):
     """Hands out small indices for words or wide ids, in the order in which they are first seen."""
 
-    __slots__ = ("indices", "names")
-
     def __init__(self, names: list[str] | None = None) -> None:
+        super().__init__((name, place) for place, name in enumerate(names or ()))
         self.names: list[Any] = list(names or ())
-        self.indices: dict[Any, int] = {name: place for place, name in enumerate(self.names)}
 
-    def __getitem__(self, name: Any) -> int:
-        index = self.indices.get(name)
-        if index is None:
-            index = self.indices[name] = len(self.names)
-            self.names.append(name)
+    def __missing__(self, name: Any) -> int:
+        self[name] = index = len(self.names)
+        self.names.append(name)
         return index
 
 
