Weights within half a doubling rank as equal, in each relay's own order

Cause: a live weight is the same at all relays, so between two lists all of them fill the member that is a hair ahead; the busiest member held 7 times the mean.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -35,6 +35,9 @@
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
 SKIP_FACTOR = 1.5
+# Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
+# the same list would all fill the one member that it puts a hair ahead.
+WEIGHT_STEPS = 2
 # A fleet at even load should not flag half of itself for noise, nor wait for a member to drown.
 BUSY_MARGIN, BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.10, 0.55, 0.85, 0.04
 # Above this a backend answers late whatever it holds, so its clients are better off elsewhere.
@@ -247,7 +250,8 @@
         self.ready = sum(len(cell) for cell in self.cells.values())
         self.fleet_until = 0
         for cell in self.cells.values():
-            cell.sort(key=lambda member: (-member.weight, member.tie))
+            cell.sort(key=lambda member: (
+                -round(WEIGHT_STEPS * math.log2(max(member.weight, 1e-9))), member.tie))
 
     # -- what is believed of a member ------------------------------------------------------------
 
