--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -37,7 +37,7 @@
 SKIP_FACTOR = 1.5
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
 # the same list would all fill the one member that it puts a hair ahead.
-WEIGHT_STEPS = 1
+WEIGHT_STEPS = 2
 # A fleet at even load should not flag half of itself for noise, nor wait for a member to drown.
 BUSY_MARGIN, BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.10, 0.55, 0.85, 0.04
 # Above this a backend answers late whatever it holds, so its clients are better off elsewhere.
