--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -70,8 +70,6 @@
 SOUND_LOAD = 1.2
 # How long a mean is gone by, for each member that it is made of.
 FLEET_CARE = 4 * MS
-# The age at which a report counts half in the fleet's mean.
-NEWS = 10 * SECOND
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
 # Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
@@ -307,8 +305,7 @@
                 asked = self._asked(now, member)
                 # A cold member's idle cores can't be had at will, so they are no reason to call others busy.
                 if asked >= 0 and not self._is_out(now, member) and not self._is_cold(now, member):
-                    # A relay that looks seldom must not go on judging by what was true a minute ago.
-                    size = (self._capacity(now, member) or 1.0) / (NEWS + now - member.seen_at)
+                    size = self._capacity(now, member) or 1.0
                     total += min(asked, 3.0) * size
                     weight += size
         return total / weight if weight else -1.0
@@ -783,9 +780,6 @@
 
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
-        if self.yielding:
-            # Who declines places little and so looks at little, and would go on declining by its old view.
-            return PROBE_EVERY
         rate = self.arrivals.read(now) / (self.arrivals.life / SECOND)
         return int(min(max(PROBE_EVERY, SECOND / max(PROBES_A_TUNNEL * rate, 0.1)), PROBE_SELDOM))
 
