A member is busy above the fleet's mean; five looks a tunnel

Cause: where a fresh look comes before each placement, a threshold 0.10 over the mean lets members fill unevenly that were never meant to.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -39,7 +39,7 @@
 # the same list would all fill the one member that it puts a hair ahead.
 WEIGHT_STEPS = 2
 # A fleet at even load should not flag half of itself for noise, nor wait for a member to drown.
-BUSY_MARGIN, BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.10, 0.55, 0.85, 0.04
+BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.55, 0.85, 0.04
 # Above this a backend answers late whatever it holds, so its clients are better off elsewhere.
 DROWNING = 0.95
 # Moves leave a member this much of what it can do, less what it needs to work off what is piled up.
@@ -59,7 +59,7 @@
 # So many cells may be tried for a tunnel: work for one must not grow with the fleet.
 SPILL = 6
 # How many members are looked at for one tunnel, within this part of its setup goal.
-LOOKS, LOOK_PART = 3, 0.25
+LOOKS, LOOK_PART = 5, 0.25
 # Above this mean load a fleet has no room for its own swings. The salt sets the line apart from the cells.
 FULL, LINE_SALT = 0.85, 1 << 40
 # How much a member's kind counts against its own reports, in reports at full load.
@@ -323,7 +323,7 @@
         return now < member.full_until or self._asked(now, member) > DROWNING
 
     def _limit(self, fleet: float) -> float:
-        return min(max(fleet + BUSY_MARGIN, BUSY_FLOOR), BUSY_CEILING)
+        return min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
 
     def _is_out(self, now: int, member: Member) -> bool:
         """Whether failures keep a member aside; its return is by one setup at a time."""
