A host that wakes a little early does not lose a tunnel that waits for a look

Cause, found by reading: a host that counts microseconds cuts the wake-up short, and the tunnel was passed over until its probe came back. The test's host now counts in microseconds; the test fails without the change.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -38,7 +38,8 @@
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
 # the same list would all fill the one member that it puts a hair ahead.
 WEIGHT_STEPS = 2
-# A fleet at even load should not flag half of itself for noise, nor wait for a member to drown.
+# Between these the flag's threshold is the fleet's mean, with hysteresis against noise: a calm fleet needs no
+# flags, and a full one must not wait for a member to drown.
 BUSY_FLOOR, BUSY_CEILING, HYSTERESIS = 0.55, 0.85, 0.04
 # Above this a backend answers late whatever it holds, so its clients are better off elsewhere.
 DROWNING = 0.95
@@ -447,7 +448,7 @@
         among hundreds places a tunnel there more seldom still: most flags would be guesses. So the report
         is fetched when it is needed, and the ordinary path decides again by what it says.
         """
-        return (self.facts.probes and tun.looks < LOOKS and now < tun.look_until
+        return (self.facts.probes and tun.looks < LOOKS and now <= tun.look_until - MS
                 and now - member.seen_at > FRESH and not self._is_cold(now, member))
 
     def _looked(self, now: int, ep: int) -> None:
@@ -457,9 +458,12 @@
                 self._place(now, tun_id, self.tuns[tun_id])
 
     def _look_no_longer(self, now: int) -> None:
-        """What does not answer a probe in time is no better at taking a tunnel."""
+        """What does not answer a probe in time is no better at taking a tunnel.
+
+        A host may count in coarser units and wake a little early; a tunnel passed over then would be lost.
+        """
         late = {tun_id: ep for tun_id, ep in self.looking.items()
-                if tun_id not in self.tuns or now >= self.tuns[tun_id].look_until}
+                if tun_id not in self.tuns or now > self.tuns[tun_id].look_until - MS}
         for ep in late.values():
             self.members[ep].full_until = max(self.members[ep].full_until, now + BUSY_HOLD)
         for tun_id in late:
@@ -734,6 +738,7 @@
         if answered:
             self._learn_report(now, member, report)
         else:
+            # Too busy to answer, hung or gone: the list would say so seconds later, if at all.
             member.full_until = max(member.full_until, now + BUSY_HOLD)
         self._looked(now, ep)
 
--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -114,7 +114,7 @@
 
     def wake(self, delay: int, token: int) -> None:
         assert delay > 0
-        self.wakes.append((self.now + delay, token))
+        self.wakes.append((self.now + delay // 1000 * 1000, token))  # a host that counts microseconds
 
     def watch(self) -> None:
         self.watches.append(self.now)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -248,7 +248,7 @@
     top = placed(ledger, ledger.arrive(key="one"))
     ledger.run(30 * SECOND)
     ledger.answers = False
-    tun = ledger.arrive(key="one")
+    tun = ledger.arrive(key="one", budget=200 * MS + 2000)
     assert not ledger.cases[tun].setups and ledger.probes[-1] == (ledger.now, top)
     ledger.run(100 * MS)
     assert placed(ledger, tun) != top
