--- a/tests/ledger.py
+++ b/tests/ledger.py
@@ -23,9 +23,9 @@
 START = 1000 * SECOND
 
 
-def facts(**other: object) -> SiteFacts:
+def facts(window: int = 2 * SECOND, **other: object) -> SiteFacts:
     rows = tuple(
-        ProfileRow(effect, dedup, 2 * SECOND, 300 * MS, 50 * MS, 1.0 + place)
+        ProfileRow(effect, dedup, window, 300 * MS, 50 * MS, 1.0 + place)
         for place, (effect, dedup) in enumerate((
             (Effect.REPEATABLE, Dedup.ALL), (Effect.REFERENCED, Dedup.ALL), (Effect.REFERENCED, Dedup.ZONE),
             (Effect.REFERENCED, Dedup.CELL), (Effect.ONCE_ONLY, Dedup.ALL))))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -16,13 +16,13 @@
 class Days(RuleBasedStateMachine):
     @initialize(seed=st.integers(0, 99), ask=st.booleans(), ranked=st.booleans(), grouped=st.booleans(),
                 setups=st.integers(1, 4), probes=st.booleans(), relays=st.integers(1, 4),
-                cells=st.integers(1, 4))
+                cells=st.integers(1, 4), window=st.sampled_from([100 * MS, 2 * SECOND]))
     def begin(self, seed: int, ask: bool, ranked: bool, grouped: bool, setups: int, probes: bool,
-              relays: int, cells: int) -> None:
+              relays: int, cells: int, window: int) -> None:
         self.cells = cells
         self.ledger = Ledger(facts(
-            seed=seed, must_ask=ask, ranked=ranked, grouped=grouped, most_setups=setups, probes=probes,
-            relays=relays, come_back_max=SECOND if ask else 0, quotas=(4.0, 4.0), over_share_credit=0.1))
+            window=window, seed=seed, must_ask=ask, ranked=ranked, grouped=grouped, most_setups=setups,
+            probes=probes, relays=relays, come_back_max=SECOND if ask else 0, quotas=(4.0, 4.0), over_share_credit=0.1))
         self.ledger.tell(ListForm.RESTORED,
                          *(listed(ep, weight=1.0 + ep % 3, cells=cells) for ep in range(4)))
 
