--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -22,7 +22,8 @@
         self.cells = cells
         self.ledger = Ledger(facts(
             window=window, seed=seed, must_ask=ask, ranked=ranked, grouped=grouped, most_setups=setups,
-            probes=probes, relays=relays, come_back_max=SECOND if ask else 0, quotas=(4.0, 4.0), over_share_credit=0.1))
+            probes=probes, relays=relays, come_back_max=SECOND if ask else 0, quotas=(4.0, 4.0),
+            over_share_credit=0.1))
         self.ledger.tell(ListForm.RESTORED,
                          *(listed(ep, weight=1.0 + ep % 3, cells=cells) for ep in range(4)))
 
