One loop for tunnels that wait, one arrival rate, one check for shown moves

A tidy-up after reading the whole change: the two ends of a look walked the waiting tunnels each with a loop of its own, the arrival rate and the age check for moves stood twice, and a comment spoke of own changes as before the echo.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -13,6 +13,7 @@
 
 import math
 import random
+from collections.abc import Iterable
 from hashlib import blake2b
 
 from cedarledge.terms import (
@@ -77,8 +78,6 @@
 COLD_CARE = 0.35
 # A tunnel heavier than this many usual ones would by itself be most of what a cold member may be sent.
 COLD_HEAVY = 1.5
-
-
 ONES = 2**64 - 1
 
 
@@ -275,8 +274,8 @@
         """The load asked of a member over what it can do, with the changes since its report.
 
         Reports come late: what was placed shortly before one is not in it yet. The other relays see the
-        same reports and do as this one does, so its own change counts once for each of them; counted
-        once, they would all fill the same idle member. Below 0: not known.
+        same reports and do as this one does, so its own change counts for them too, as far as it is
+        evidence; counted once, they would all fill the same idle member. Below 0: not known.
         """
         if member.asked < 0:
             return -1.0
@@ -452,7 +451,10 @@
                 and now - member.seen_at > FRESH and not self._is_cold(now, member))
 
     def _looked(self, now: int, ep: int) -> None:
-        for tun_id in [tun_id for tun_id, at in self.looking.items() if at == ep]:
+        self._wait_no_longer(now, [tun_id for tun_id, at in self.looking.items() if at == ep])
+
+    def _wait_no_longer(self, now: int, waiting: Iterable[int]) -> None:
+        for tun_id in waiting:
             del self.looking[tun_id]
             if tun_id in self.tuns:
                 self._place(now, tun_id, self.tuns[tun_id])
@@ -466,10 +468,7 @@
                 if tun_id not in self.tuns or now > self.tuns[tun_id].look_until - MS}
         for ep in late.values():
             self.members[ep].full_until = max(self.members[ep].full_until, now + BUSY_HOLD)
-        for tun_id in late:
-            del self.looking[tun_id]
-            if tun_id in self.tuns:
-                self._place(now, tun_id, self.tuns[tun_id])
+        self._wait_no_longer(now, late)
 
     def _pick(self, now: int, tun: Tunnel) -> tuple[Member | None, str]:
         """The ordinary path, and the departures for when its cell has no member to offer."""
@@ -785,8 +784,11 @@
 
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
-        rate = self.arrivals.read(now) / (self.arrivals.life / SECOND)
-        return int(min(max(PROBE_EVERY, SECOND / max(PROBES_A_TUNNEL * rate, 0.1)), PROBE_SELDOM))
+        probes = PROBES_A_TUNNEL * self._arrivals_a_second(now)
+        return int(min(max(PROBE_EVERY, SECOND / max(probes, 0.1)), PROBE_SELDOM))
+
+    def _arrivals_a_second(self, now: int) -> float:
+        return self.arrivals.read(now) / (self.arrivals.life / SECOND)
 
     def _ask(self, now: int, member: Member) -> None:
         member.probe_at = now
@@ -803,7 +805,7 @@
             self._look_no_longer(now)
             return
         self.host.wake(TICK, TICK_TOKEN)
-        self.arrival_rate = self.arrivals.read(now) / (self.arrivals.life / SECOND) / max(1, self.ready)
+        self.arrival_rate = self._arrivals_a_second(now) / max(1, self.ready)
         self._probe(now)
         if now >= self.next_log:
             self.next_log = now + LOG_EVERY
@@ -869,7 +871,8 @@
         # One among hundreds holds a connection or two there, and its part of the surplus is less than one of
         # them. So what is left over is settled by a draw, once for each report that can show what the last
         # draws did: together the relays move their part.
-        draws = len(settled) <= FEW_HELD and member.seen_at - member.eased_at > EASE
+        shows = member.seen_at - member.eased_at > EASE
+        draws = shows and len(settled) <= FEW_HELD
         for load, tun_id in settled:
             if moved >= most or load <= 0:
                 break
@@ -879,6 +882,6 @@
             surplus = max(0.0, surplus - load)
             moved += 1
             self._move(tun_id)
-        if member.seen_at - member.eased_at > EASE:
+        if shows:
             member.eased_at = now
         return moved
