--- /dev/null
+++ b/cedarledge/net/backends.py
@@ -0,0 +1,253 @@
+"""The backends' side: setups, the lines of open tunnels, probes."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.interfaces import IPullProducer
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from cedarledge.net.config import Address
+from cedarledge.net.lines import figure
+from cedarledge.net.links import Link, Means
+from cedarledge.net.slots import FullError
+from cedarledge.terms import LoadReport, Outcome
+from cedarledge.words import ReportReader
+
+# First words of the lines that end a setup or an open tunnel.
+LAST_WORDS = {b"BYE": Outcome.DONE, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL}
+
+
+class Watcher(Protocol):
+    """Where the backends' side tells what comes of setups and probes."""
+
+    def may_send(self, ep: int) -> bool: ...
+    def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
+    def lines_back(self, tun: int, lines: list[bytes]) -> None: ...
+    def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
+                   abrupt: bool) -> None: ...
+    def probe_over(self, ep: int, answered: bool, report: LoadReport) -> None: ...
+
+
+def read_report(text: bytes, reader: ReportReader) -> LoadReport | None:
+    """The load report that may end a line; one that is no list of figures is none."""
+    try:
+        pairs = (pair.split("=", 1) for pair in text.decode("ascii").split(","))
+        return reader({name: figure(value) for name, value in pairs})
+    except ValueError:
+        return None
+
+
+class BackendLink(Link):
+    """A connection that this relay opens. Whatever is opened ends in Link._gone."""
+
+    def __init__(self, means: Means, address: Address) -> None:
+        super().__init__(means)
+        self.address = address
+        self._connecting: Deferred | None = None
+
+    def connect(self, within: int) -> None:
+        self.due_in(within, self._never_up)
+        endpoint = TCP4ClientEndpoint(self.means.reactor, *self.address, timeout=None)
+        self._connecting = connectProtocol(endpoint, self)
+        self._connecting.addErrback(self._not_up)
+
+    def _never_up(self) -> None:
+        if self._connecting is not None:
+            self._connecting.cancel()
+
+    def _not_up(self, _why: Failure) -> None:
+        if not self.ending:
+            self.ending = True
+            self.peer_ended(abrupt=True)
+        self._gone()
+
+    def abort(self) -> None:
+        super().abort()
+        if not self.up:
+            self._never_up()
+
+
+@implementer(IPullProducer)
+class SetupLink(BackendLink):
+    """One setup: the first line, the backend's answer to it, then the tunnel's backend end."""
+
+    def __init__(self, backends: Backends, tun: int, ep: int, address: Address,
+                 head: Callable[[int], bytes], timeout: int) -> None:
+        super().__init__(backends.means, address)
+        self.backends = backends
+        self.tun = tun
+        self.ep = ep
+        self.head = head
+        self.began = self.means.clock()
+        self.give_up = self.began + timeout
+        self.writing = self.written = self.opened = self.over = False
+        self.last: tuple[Outcome, LoadReport | None] | None = None
+
+    def came_up(self) -> None:
+        left = self.give_up - self.means.clock()
+        if left <= 0 or not self.backends.watcher.may_send(self.ep):
+            # The list may have told of a drain while this was connecting, and a send counts from its line.
+            self._settle(Outcome.NOT_SENT)
+            self.abort()
+            return
+        self.due_in(left, self._too_late)
+        # As a pull producer it is asked once for the line and once more when the system has taken it all.
+        self.transport.registerProducer(self, False)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        if self.writing:
+            self.written = True
+            self.transport.unregisterProducer()
+            return
+        self.writing = True
+        self.send_line(self.head(self.give_up - self.means.clock()))
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The connection broke before the line was written; connectionLost says so."""
+
+    def _too_late(self) -> None:
+        self._settle(Outcome.TIMEOUT)
+        self.abort()
+
+    def lines_came(self, lines: list[bytes]) -> None:
+        if not self.opened:
+            self._answered(lines.pop(0))
+        if lines and self.opened and not self.ending:
+            self.last = self._ends(lines[-1])
+            self.backends.watcher.lines_back(self.tun, lines)
+
+    def _answered(self, line: bytes) -> None:
+        if line.startswith(b"UP"):
+            self.opened = True
+            self.nothing_due()
+            self.backends.watcher.setup_up(self.tun, line, self.means.clock() - self.began)
+            return
+        # What none of the words fits is an error: it may have run.
+        outcome, report = self._ends(line) or (Outcome.ERROR, None)
+        self._settle(outcome, report)
+        self.finish()
+
+    def _ends(self, line: bytes) -> tuple[Outcome, LoadReport | None] | None:
+        word, _, rest = line.partition(b" ")
+        outcome = LAST_WORDS.get(word)
+        if outcome is None:
+            return None
+        return outcome, read_report(rest, self.backends.reader) if rest else None
+
+    def peer_ended(self, abrupt: bool) -> None:
+        if self.opened:
+            outcome, report = self.last or (Outcome.RESET, None)
+        else:
+            outcome, report = (Outcome.RESET if self.written else Outcome.CONNECT_FAILED), None
+        self._settle(outcome, report, abrupt)
+
+    def call_off(self, abrupt: bool = False) -> None:
+        """Its client has left or was moved: it ends with no word to the watcher."""
+        self.over = True
+        if self.opened and not abrupt:
+            self.finish()
+        else:
+            self.abort()
+
+    def _settle(self, outcome: Outcome, report: LoadReport | None = None, abrupt: bool = False) -> None:
+        if not self.over:
+            self.over = True
+            self.nothing_due()
+            self.backends.watcher.setup_over(self.tun, self.ep, outcome, self.means.clock() - self.began,
+                                             report, abrupt)
+
+
+class ProbeLink(BackendLink):
+    """The connection for one backend's probes, kept while it is used: a new one costs the backend more."""
+
+    def __init__(self, backends: Backends, ep: int, address: Address) -> None:
+        super().__init__(backends.means, address)
+        self.backends = backends
+        self.ep = ep
+        self.out = False
+
+    def ask(self) -> None:
+        if self.out:
+            # One answer serves all who wait for it.
+            return
+        self.out = True
+        if self.up:
+            self._write()
+        else:
+            self.connect(self.backends.connect_within)
+
+    def came_up(self) -> None:
+        self._write()
+
+    def _write(self) -> None:
+        self.due_in(self.backends.probe_within, self._too_late)
+        self.send_line(self.backends.probe_word)
+
+    def _too_late(self) -> None:
+        self.peer_ended(abrupt=True)
+        self.abort()
+
+    def lines_came(self, lines: list[bytes]) -> None:
+        word, _, rest = lines[0].partition(b" ")
+        if len(lines) > 1 or not self.out:
+            self.bad_input("more answers than probes")
+            return
+        self.out = False
+        self.due_in(self.backends.idle_within, self._idle)
+        report = read_report(rest, self.backends.reader) if rest else None
+        self.backends.watcher.probe_over(self.ep, word == b"PONG", report or LoadReport())
+
+    def _idle(self) -> None:
+        self.backends.forget(self)
+        self.finish()
+
+    def peer_ended(self, abrupt: bool) -> None:
+        self.backends.forget(self)
+        if self.out:
+            self.out = False
+            self.backends.watcher.probe_over(self.ep, False, LoadReport())
+
+
+class Backends:
+    """Opens setups and probes, and knows the probe connections that are kept."""
+
+    def __init__(self, means: Means, watcher: Watcher, reader: ReportReader, connect_within: int,
+                 probe_within: int, idle_within: int, probe_word: bytes) -> None:
+        self.means = means
+        self.watcher = watcher
+        self.reader = reader
+        self.connect_within = connect_within
+        self.probe_within = probe_within
+        self.idle_within = idle_within
+        self.probe_word = probe_word
+        self._probes: dict[int, ProbeLink] = {}
+
+    def set_up(self, tun: int, ep: int, address: Address, head: Callable[[int], bytes],
+               timeout: int, connect_within: int) -> SetupLink:
+        link = SetupLink(self, tun, ep, address, head, timeout)
+        link.connect(min(connect_within, timeout))
+        return link
+
+    def probe(self, ep: int, address: Address) -> None:
+        link = self._probes.get(ep)
+        if link is not None and link.address != address:
+            self.forget(link)
+            link.abort()
+            link = None
+        if link is None:
+            try:
+                link = self._probes[ep] = ProbeLink(self, ep, address)
+            except FullError:
+                # Told later: the module is in the midst of asking.
+                self.means.deadlines.after(0, self.watcher.probe_over, ep, False, LoadReport())
+                return
+        link.ask()
+
+    def forget(self, link: ProbeLink) -> None:
+        if self._probes.get(link.ep) is link:
+            del self._probes[link.ep]
--- /dev/null
+++ b/cedarledge/net/config.py
@@ -0,0 +1,57 @@
+"""What a relay is told at its start, from the file that BALANCER_CONFIG names."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any, NamedTuple
+
+Address = tuple[str, int]
+
+
+class BadConfigError(Exception):
+    """The relay can't start with what it was told."""
+
+
+class StartingOrders(NamedTuple):
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    sockets: int
+    known: dict[str, Any]
+    settings: dict[str, Any]
+
+
+def address_of(text: str) -> Address:
+    host, colon, port = text.rpartition(":")
+    if not colon or not host or not 0 < int(port) < 65536:
+        raise ValueError(f"no address: {text!r}")
+    return host, int(port)
+
+
+def read_orders(environ: Mapping[str, str]) -> StartingOrders:
+    path = environ.get("BALANCER_CONFIG")
+    if not path:
+        raise BadConfigError("BALANCER_CONFIG is not set")
+    try:
+        told = json.loads(Path(path).read_bytes())
+    except OSError as why:
+        raise BadConfigError(f"{path}: {why.strerror}") from why
+    except ValueError as why:
+        raise BadConfigError(f"{path}: not JSON: {why}") from why
+    try:
+        return StartingOrders(
+            name=str(told["name"]),
+            listen=address_of(told["listen"]),
+            discovery=address_of(told["discovery"]),
+            seed=int(told["seed"], 16),
+            sockets=int(told["limits"]["sockets"]),
+            known=dict(told["known"]),
+            settings=dict(told["settings"]),
+        )
+    except KeyError as why:
+        raise BadConfigError(f"{path}: {why} is missing") from why
+    except (TypeError, ValueError, AttributeError) as why:
+        raise BadConfigError(f"{path}: {why}") from why
--- /dev/null
+++ b/cedarledge/net/discovery.py
@@ -0,0 +1,272 @@
+"""The list of backends: an HTTP/1.1 reader and the watch loop."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from loguru import logger
+from twisted.internet.defer import Deferred
+from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IReactorTCP
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+
+from cedarledge.net.config import Address
+from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.terms import MS, SECOND
+
+PATH = "/discovery/hosts"
+# No list comes near these; an answer past them is not read on.
+LONGEST_HEAD, LONGEST_BODY = 16 << 10, 8 << 20
+LONGEST_WAIT = 60 * SECOND
+# How long past its wait a call may take: the answer stands in turn there.
+PATIENCE = SECOND
+
+
+class HttpError(Exception):
+    """An answer that is no HTTP/1.1, or none that can be used."""
+
+
+class HttpAnswer(NamedTuple):
+    status: int
+    closes: bool
+    body: bytes
+
+
+class HttpReader:
+    """Reads one answer after the other from a stream: by length, in chunks, or up to the end."""
+
+    def __init__(self) -> None:
+        self._data = b""
+        self._read = self._head
+        self._status = 0
+        self._closes = False
+        self._length = 0
+        self._body: list[bytes] = []
+        self._size = 0
+
+    def feed(self, data: bytes) -> HttpAnswer | None:
+        self._data += data
+        while True:
+            reader = self._read
+            answer = reader()
+            if answer is not None or self._read == reader:
+                return answer
+
+    def end(self) -> HttpAnswer | None:
+        """The stream has ended, which ends an answer that gave no length."""
+        if self._read != self._to_the_end:
+            return None
+        return self._done()
+
+    def _take(self, size: int) -> bytes:
+        taken, self._data = self._data[:size], self._data[size:]
+        return taken
+
+    def _line(self) -> bytes | None:
+        at = self._data.find(b"\r\n")
+        if at < 0:
+            if len(self._data) > LONGEST_HEAD:
+                raise HttpError("a line without an end")
+            return None
+        return self._take(at + 2)[:-2]
+
+    def _keep(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > LONGEST_BODY:
+            raise HttpError("a body past all measure")
+        self._body.append(data)
+
+    def _head(self) -> HttpAnswer | None:
+        end = self._data.find(b"\r\n\r\n")
+        if max(end, 0 if end >= 0 else len(self._data)) > LONGEST_HEAD:
+            raise HttpError("a head past all measure")
+        if end < 0:
+            return None
+        first, *lines = self._take(end + 4)[:-4].decode("latin-1").split("\r\n")
+        version, _, rest = first.partition(" ")
+        if not version.startswith("HTTP/1.") or not rest[:3].isdecimal():
+            raise HttpError(f"not an answer: {first[:60]!r}")
+        self._status = int(rest[:3])
+        if 100 <= self._status < 200:
+            return None
+        fields = {}
+        for line in lines:
+            name, colon, value = line.partition(":")
+            if not colon:
+                raise HttpError(f"not a header field: {line[:60]!r}")
+            fields[name.strip().lower()] = value.strip().lower()
+        self._closes = "close" in fields.get("connection", "") or version == "HTTP/1.0"
+        self._body, self._size = [], 0
+        length = fields.get("content-length")
+        if "chunked" in fields.get("transfer-encoding", ""):
+            self._read = self._chunk_head
+        elif length is not None:
+            if not length.isdecimal() or int(length) > LONGEST_BODY:
+                raise HttpError(f"no length: {length[:20]!r}")
+            self._length = int(length)
+            self._read = self._by_length
+        elif self._status in (204, 304):
+            return self._done()
+        else:
+            self._closes = True
+            self._read = self._to_the_end
+        return None
+
+    def _by_length(self) -> HttpAnswer | None:
+        if len(self._data) < self._length:
+            return None
+        self._keep(self._take(self._length))
+        return self._done()
+
+    def _chunk_head(self) -> HttpAnswer | None:
+        line = self._line()
+        if line is not None:
+            try:
+                self._length = int(line.partition(b";")[0], 16)
+            except ValueError as why:
+                raise HttpError(f"no chunk: {line[:20]!r}") from why
+            if not 0 <= self._length <= LONGEST_BODY:
+                raise HttpError("a chunk past all measure")
+            self._read = self._chunk if self._length else self._trailer
+        return None
+
+    def _chunk(self) -> HttpAnswer | None:
+        if len(self._data) >= self._length + 2:
+            chunk = self._take(self._length + 2)
+            if chunk[-2:] != b"\r\n":
+                raise HttpError("a chunk past its length")
+            self._keep(chunk[:-2])
+            self._read = self._chunk_head
+        return None
+
+    def _trailer(self) -> HttpAnswer | None:
+        while (line := self._line()) is not None:
+            if not line:
+                return self._done()
+        return None
+
+    def _to_the_end(self) -> HttpAnswer | None:
+        self._keep(self._take(len(self._data)))
+        return None
+
+    def _done(self) -> HttpAnswer:
+        self._read = self._head
+        return HttpAnswer(self._status, self._closes, b"".join(self._body))
+
+
+class DiscoveryLink(Protocol):
+    """A connection to discovery, for one call at a time."""
+
+    transport: Any
+
+    def __init__(self) -> None:
+        self._reader = HttpReader()
+        self._asked: Deferred[HttpAnswer] | None = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.transport.setTcpNoDelay(True)
+
+    def ask(self, host: str, target: str) -> Deferred[HttpAnswer]:
+        self._asked = Deferred()
+        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
+                             .encode("ascii"))
+        return self._asked
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        try:
+            answer = self._reader.feed(data)
+        except HttpError as why:
+            self.transport.abortConnection()
+            self._fail(why)
+            return
+        if answer is not None:
+            self._succeed(answer)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        answer = self._reader.end() if reason.check(ConnectionDone) else None
+        if answer is not None:
+            self._succeed(answer)
+        else:
+            self._fail(reason.value)
+
+    def _succeed(self, answer: HttpAnswer) -> None:
+        asked, self._asked = self._asked, None
+        if asked is not None:
+            asked.callback(answer)
+
+    def _fail(self, why: BaseException) -> None:
+        asked, self._asked = self._asked, None
+        if asked is not None:
+            asked.errback(why)
+
+
+class Watch:
+    """Follows the list. Between the answers of a watch discovery bears a pause of 200 ms, so the next call
+    goes out in the very event that brought the last answer."""
+
+    def __init__(self, reactor: IReactorTCP, deadlines: Deadlines, address: Address, revision: int, wait: int,
+                 told: Callable[[bool, list], None], failed: Callable[[], None]) -> None:
+        self._reactor = reactor
+        self._deadlines = deadlines
+        self._address = address
+        self._revision = revision
+        self._wait = min(wait or LONGEST_WAIT // 3, LONGEST_WAIT)
+        self._told = told
+        self._failed = failed
+        self._link: DiscoveryLink | None = None
+        self._call: Deferred | None = None
+        self._due: Deadline | None = None
+
+    def start(self) -> None:
+        if self._call is None:
+            self._ask()
+
+    def _ask(self) -> None:
+        self._due = self._deadlines.after(self._wait + PATIENCE, self._hung)
+        if self._link is None:
+            endpoint = TCP4ClientEndpoint(self._reactor, *self._address, timeout=None)
+            self._call = connectProtocol(endpoint, DiscoveryLink()).addCallback(self._connected)
+        else:
+            self._call = self._connected(self._link)
+        self._call.addCallback(self._answered).addErrback(self._lost)
+
+    def _connected(self, link: DiscoveryLink) -> Deferred[HttpAnswer]:
+        self._link = link
+        target = f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}"
+        return link.ask("{}:{}".format(*self._address), target)
+
+    def _hung(self) -> None:
+        if self._call is not None:
+            self._call.cancel()
+
+    def _answered(self, answer: HttpAnswer) -> None:
+        if answer.status != 200:
+            raise HttpError(f"status {answer.status}")
+        try:
+            news = json.loads(answer.body)
+            revision, whole, members = int(news["revision"]), bool(news["complete"]), list(news["members"])
+            self._told(whole, members)
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
+            raise HttpError(f"not a list: {why!r}") from why
+        self._revision = revision
+        if answer.closes:
+            self._drop()
+        self._deadlines.cancel(self._due)
+        self._ask()
+
+    def _lost(self, why: Failure) -> None:
+        logger.warning("discovery: {}", why.getErrorMessage())
+        self._deadlines.cancel(self._due)
+        self._call = None
+        self._drop()
+        self._failed()
+
+    def _drop(self) -> None:
+        """The one place where the connection is given back."""
+        link, self._link = self._link, None
+        if link is not None and link.connected:
+            link.transport.abortConnection()
--- /dev/null
+++ b/cedarledge/net/echoes.py
@@ -0,0 +1,74 @@
+"""Times the lines of open tunnels: how long a message takes at a backend, and which get no answer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.terms import SECOND
+
+# A sound connection brings a line back at once. The page wants a silent one ended or moved within 7 s; the
+# client's seconds are lost from the first on.
+SILENT = 3 * SECOND
+TELL_EVERY = SECOND
+
+
+class Echoes:
+    """What all tunnels' echoes share: what is slow, and which backends were last called so."""
+
+    def __init__(self, clock: Callable[[], int], deadlines: Deadlines, slow: int,
+                 tell_delay: Callable[[int, int, int], None], tell_silent: Callable[[int], None]) -> None:
+        self.clock = clock
+        self.deadlines = deadlines
+        self.slow = slow  # 0: delays are not told
+        self.tell_delay = tell_delay
+        self.tell_silent = tell_silent
+        self._slow_since: dict[int, int] = {}  # backends last told of as slow, and when
+
+    def took(self, tun: int, ep: int, delay: int) -> None:
+        """Tells of a slow message, once a second for a backend, and of the first that is quick again."""
+        if not self.slow:
+            return
+        now = self.clock()
+        if delay > self.slow:
+            if now - self._slow_since.get(ep, 0) >= TELL_EVERY:
+                self._slow_since[ep] = now
+                self.tell_delay(tun, ep, delay)
+        elif self._slow_since.pop(ep, None) is not None:
+            self.tell_delay(tun, ep, delay)
+
+
+class Echo:
+    """The oldest line of one tunnel that has not been answered."""
+
+    __slots__ = ("_asked_at", "_due", "_echoes", "_ep", "_tun")
+
+    def __init__(self, echoes: Echoes, tun: int, ep: int) -> None:
+        self._echoes = echoes
+        self._tun = tun
+        self._ep = ep
+        self._asked_at = 0
+        self._due: Deadline | None = None
+
+    def asked(self) -> None:
+        if not self._asked_at:
+            self._asked_at = self._echoes.clock()
+            self._due = self._echoes.deadlines.after(self._echoes.slow or SILENT, self._overdue)
+
+    def answered(self) -> None:
+        if self._asked_at:
+            delay = self._echoes.clock() - self._asked_at
+            self.close()
+            self._echoes.took(self._tun, self._ep, delay)
+
+    def _overdue(self) -> None:
+        age = self._echoes.clock() - self._asked_at
+        if age >= SILENT:
+            self._echoes.tell_silent(self._tun)
+            return
+        self._due = self._echoes.deadlines.after(min(TELL_EVERY, SILENT - age), self._overdue)
+        self._echoes.took(self._tun, self._ep, age)
+
+    def close(self) -> None:
+        self._echoes.deadlines.cancel(self._due)
+        self._asked_at = 0
--- /dev/null
+++ b/cedarledge/net/links.py
@@ -0,0 +1,148 @@
+"""What every line connection has, whoever its peer is: a slot, a line buffer, and one way to end."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from loguru import logger
+from twisted.internet.error import ConnectionDone
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from zope.interface import implementer
+
+from cedarledge.net.buffers import NoBufferError, Pool
+from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.lines import END, LONGEST, Lines, OverlongError
+from cedarledge.net.slots import Slots
+from cedarledge.terms import SECOND
+
+# How long the peer of a connection that was ended may take to read what is left and to end its side.
+LINGER = SECOND
+
+
+class Means(NamedTuple):
+    """What all connections draw on."""
+
+    reactor: Any
+    clock: Callable[[], int]
+    deadlines: Deadlines
+    pool: Pool
+    links: Slots[Link]
+
+
+@implementer(IHalfCloseableProtocol)
+class Link(Protocol):
+    """One connection. It takes its slot when it is made and gives it back in _gone, there alone."""
+
+    transport: Any
+
+    def __init__(self, means: Means) -> None:
+        self.means = means
+        self.lines = Lines(means.pool)
+        self.deadline: Deadline | None = None
+        self.up = self.ending = False
+        self.slot = means.links.take(self)
+
+    # -- what the peers' files fill in -----------------------------------------------------------
+
+    def came_up(self) -> None:
+        """The connection stands."""
+
+    def lines_came(self, lines: list[bytes]) -> None:
+        raise NotImplementedError
+
+    def peer_ended(self, abrupt: bool) -> None:
+        """The peer, or the network, has ended the connection."""
+        raise NotImplementedError
+
+    def bad_input(self, why: str) -> None:
+        """The peer does not keep to the protocol."""
+        logger.warning("{}: {}", type(self).__name__, why)
+        self.peer_ended(abrupt=True)
+        self.abort()
+
+    # -- deadlines -------------------------------------------------------------------------------
+
+    def due_in(self, delay: int, call: Callable[[], None]) -> None:
+        """Sets the one deadline that a connection has at a time."""
+        self.means.deadlines.cancel(self.deadline)
+        self.deadline = self.means.deadlines.after(delay, call)
+
+    def nothing_due(self) -> None:
+        self.means.deadlines.cancel(self.deadline)
+        self.deadline = None
+
+    # -- sending and ending ----------------------------------------------------------------------
+
+    def send_line(self, line: bytes) -> None:
+        self.transport.write(line + END)
+
+    def send_lines(self, lines: list[bytes]) -> None:
+        self.transport.write(END.join((*lines, b"")))
+
+    def finish(self) -> None:
+        """Ends it once all is written. Only the sending side is closed at first: closed at once, a line
+        that is still on its way here would make the system reset the connection, and the last answer with
+        it."""
+        if self.ending:
+            return
+        self.ending = True
+        if self.up:
+            self.transport.unregisterProducer()
+            self.transport.resumeProducing()
+            self.transport.loseWriteConnection()
+            self.due_in(LINGER, self.abort)
+        else:
+            self.abort()
+
+    def abort(self) -> None:
+        """Ends it now, and resets it."""
+        self.ending = True
+        self.nothing_due()
+        if self.up:
+            self.transport.abortConnection()
+
+    # -- Twisted's side --------------------------------------------------------------------------
+
+    def connectionMade(self) -> None:  # noqa: N802
+        self.up = True
+        self.transport.setTcpNoDelay(True)
+        # Twisted would ask the system for 64 KiB a read; the longest line is a sixteenth of that.
+        self.transport.bufferSize = 2 * LONGEST
+        self.came_up()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.ending:
+            return
+        try:
+            lines = self.lines.feed(data)
+        except (OverlongError, NoBufferError) as why:
+            self.bad_input(str(why))
+            return
+        if lines:
+            self.lines_came(lines)
+
+    def readConnectionLost(self) -> None:  # noqa: N802
+        if not self.ending:
+            self.ending = True
+            self.peer_ended(abrupt=False)
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self.due_in(LINGER, self.abort)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Closed by finish; the other half follows."""
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        if not self.ending:
+            self.ending = True
+            self.peer_ended(abrupt=reason.check(ConnectionDone) is None)
+        self._gone()
+
+    def _gone(self) -> None:
+        self.up = False
+        self.nothing_due()
+        self.lines.close()
+        self.means.links.give_back(self.slot)
--- /dev/null
+++ b/cedarledge/net/relay.py
@@ -0,0 +1,364 @@
+"""One relay: the decision module's host, the table of tunnels, and who owns what."""
+
+from __future__ import annotations
+
+import resource
+import sys
+from collections.abc import Callable
+from typing import Any
+
+from loguru import logger
+from twisted.internet.error import CannotListenError
+from twisted.logger import LogLevel, formatEvent, globalLogBeginner
+
+from cedarledge.choice import Balancer
+from cedarledge.net.backends import Backends, SetupLink
+from cedarledge.net.buffers import Pool
+from cedarledge.net.clients import SPARE_LINKS, ClientLink, Listener, Opening
+from cedarledge.net.config import Address, BadConfigError, StartingOrders, address_of
+from cedarledge.net.deadlines import Deadlines, steady_clock
+from cedarledge.net.discovery import Watch
+from cedarledge.net.echoes import Echo, Echoes
+from cedarledge.net.lines import BUFFER_SIZE, figure
+from cedarledge.net.links import Means
+from cedarledge.net.slots import FullError, Slots
+from cedarledge.terms import MS, SECOND, Listed, ListForm, LoadReport, Outcome, Standing
+from cedarledge.words import US, Indices, ReportReader, mark_of, site_facts
+
+PHASES = {"up": Standing.READY, "draining": Standing.DRAINING, "removed": Standing.GONE}
+# Descriptors for what is no line connection: standard streams, the listener, discovery, the reactor's own.
+OWN_FILES = 32
+# The way back of an answer is part of the client's wait.
+WAY_BACK = 5 * MS
+# Connections that were open before the run must be up again within 40 s of its start.
+ADOPT_WITHIN, ADOPT_CONNECT_WITHIN, ADOPT_AGAIN = 38 * SECOND, 4 * SECOND, 250 * MS
+
+
+class Tunnel:
+    """A client's request and what it holds; its slot is given back in Relay._free."""
+
+    __slots__ = ("began", "client", "echo", "known", "opening", "over", "setup", "up")
+
+    def __init__(self, client: ClientLink, opening: Opening, began: int) -> None:
+        self.client = client
+        self.opening = opening
+        self.began = began
+        self.setup: SetupLink | None = None
+        self.echo: Echo | None = None
+        self.known = False  # to the decision module
+        self.up = self.over = False
+
+
+class Relay:
+    def __init__(self, reactor: Any, orders: StartingOrders) -> None:
+        settings = orders.settings
+        self.clock = steady_clock()
+        self.deadlines = Deadlines(reactor, self.clock)
+        files = min(orders.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        most = files - OWN_FILES
+        if most < 2 * SPARE_LINKS:
+            raise BadConfigError(f"{files} descriptors are too few")
+        self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most))
+        self.tunnels: Slots[Tunnel] = Slots((most - SPARE_LINKS) // 2)
+        self.eps = Indices()
+        self.addresses: dict[int, Address] = {}
+        self.ready: set[int] = set()
+        try:
+            self.zones = Indices(settings.get("dcs"))
+            self.kinds = Indices(settings.get("host_types"))
+            self.profiles = {row["name"]: place for place, row in enumerate(settings.get("profiles") or ())}
+            self.tenants = {row["name"]: place for place, row in enumerate(settings.get("tenants") or ())}
+            self.facts = site_facts(settings, orders.seed, self.clock(), self.zones)
+            allowed = settings["allowed"]
+            self.connect_within = int(allowed["connect_timeout"]) * US
+            known = [self._listed(entry) for entry in orders.known["members"]]
+            self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
+                                  self.facts.ask_every, self.list_told, self.list_lost)
+            goals = [row.setup_goal for row in self.facts.profiles]
+            self.backends = Backends(
+                self.means, self, ReportReader(settings), self.connect_within,
+                # A probe that takes longer than the tightest setup may tells nothing good of its backend.
+                probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
+                probe_word=b"PING" if settings["load_report"]["how"] == "off" else b"STATS")
+            tells = (settings.get("domain") or {}).get("tells_delay")
+        except (KeyError, TypeError, ValueError, AttributeError) as why:
+            raise BadConfigError(f"the settings can't be used: {why!r}") from why
+        tightest = min((row.message_goal for row in self.facts.profiles if row.message_goal), default=0)
+        self.echoes = Echoes(self.clock, self.deadlines, tightest // 3 if tells else 0,
+                             self.delay_told, self.silent)
+        self.listener = Listener(self.means, self)
+        self.balancer = Balancer(self, self.facts)
+        self._list_changed(ListForm.RESTORED, known)
+
+    def _tell(self, method: Callable[..., None], *args: Any) -> bool:
+        """Calls the module. A fault there costs one event, not the connections that this relay holds."""
+        try:
+            method(self.clock(), *args)
+        except Exception:
+            logger.exception("the decision module failed")
+            return False
+        return True
+
+    # -- the host interface ----------------------------------------------------------------------
+
+    def send(self, tun: int, ep: int, timeout: int) -> None:
+        self._set_up(tun, ep, timeout, self.connect_within)
+
+    def _set_up(self, tun: int, ep: int, timeout: int, connect_within: int) -> None:
+        tunnel = self.tunnels.get(tun)
+        try:
+            tunnel.setup = self.backends.set_up(tun, ep, self.addresses[ep], tunnel.opening.head, timeout,
+                                                connect_within)
+        except FullError:
+            self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+
+    def decline(self, tun: int, come_back: int) -> None:
+        self.tunnels.get(tun).client.decline(come_back)
+        self._answered(tun)
+
+    def close_with_error(self, tun: int) -> None:
+        self.tunnels.get(tun).client.fail()
+        self._answered(tun)
+
+    def move(self, tun: int) -> None:
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None or tunnel.over or not tunnel.up:
+            return
+        setup = tunnel.setup
+        self._part(tunnel)
+        tunnel.client.move()
+        setup.call_off()
+        # The module is in the midst of moving, so it hears of the end afterwards.
+        self.deadlines.after(0, self._moved, tun, setup.ep, self.clock() - setup.began)
+
+    def probe(self, ep: int) -> None:
+        self.backends.probe(ep, self.addresses[ep])
+
+    def wake(self, delay: int, token: int) -> None:
+        self.deadlines.after(delay, self._woke, token)
+
+    def watch(self) -> None:
+        self.watching.start()
+
+    def log(self, text: str) -> None:
+        logger.info("{}", text)
+
+    # -- a tunnel's life -------------------------------------------------------------------------
+
+    def arrived(self, client: ClientLink, opening: Opening) -> int:
+        try:
+            profile = self.profiles[opening.profile]
+            tenant = None if opening.tenant is None else self.tenants[opening.tenant]
+        except KeyError as why:
+            logger.warning("client: nothing is called {}", why)
+            client.fail()
+            return -1
+        tunnel = Tunnel(client, opening, self.clock())
+        try:
+            tun = self.tunnels.take(tunnel)
+        except FullError:
+            logger.warning("no slot is left for a tunnel")
+            client.decline(0)
+            return -1
+        if opening.at is not None:
+            self._adopt(tun)
+            return tun
+        tunnel.known = True
+        if not self._tell(self.balancer.tunnel_arrived, tun, profile, tenant, opening.key, opening.group,
+                          max(MS, opening.wait - WAY_BACK), opening.hint, opening.returning):
+            self._abandon(tun)
+        return tun
+
+    def _adopt(self, tun: int) -> None:
+        """Brings up a connection that was open before, at its own backend and no other."""
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        left = tunnel.began + ADOPT_WITHIN - self.clock()
+        ep = self.eps.get(tunnel.opening.at)
+        if left <= 0:
+            self.close_with_error(tun)
+        elif ep in self.addresses:
+            self._set_up(tun, ep, left, ADOPT_CONNECT_WITHIN)
+        else:
+            self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+
+    def setup_up(self, tun: int, line: bytes, took: int) -> None:
+        tunnel = self.tunnels.get(tun)
+        tunnel.up = True
+        setup, client = tunnel.setup, tunnel.client
+        tunnel.echo = Echo(self.echoes, tun, setup.ep)
+        client.send_line(line)
+        # A side that reads slowly holds up the other one's reading, not this relay's memory.
+        client.transport.registerProducer(setup.transport, True)
+        setup.transport.registerProducer(client.transport, True)
+        if tunnel.known:
+            self._tell(self.balancer.opened, tun, took)
+            return
+        opening = tunnel.opening
+        tunnel.known = True
+        self._tell(self.balancer.adopted, tun, self.profiles[opening.profile],
+                   None if opening.tenant is None else self.tenants[opening.tenant], opening.key,
+                   opening.group, setup.ep, opening.hint)
+
+    def lines_on(self, tun: int, lines: list[bytes]) -> None:
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        if not tunnel.up:
+            logger.warning("client: lines before UP")
+            self.client_ended(tun, abrupt=False)
+            tunnel.client.fail()
+            return
+        tunnel.setup.send_lines(lines)
+        tunnel.echo.asked()
+
+    def lines_back(self, tun: int, lines: list[bytes]) -> None:
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        tunnel.client.send_lines(lines)
+        for line in lines:
+            if not line.startswith(b"LOAD "):
+                tunnel.echo.answered()
+                continue
+            try:
+                load = figure(line[5:].decode("ascii"))
+            except ValueError:
+                logger.warning("backend: no load: {!r}", line[:80])
+                continue
+            self._tell(self.balancer.load_told, tun, load)
+
+    def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
+                   abrupt: bool) -> None:
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None:
+            return
+        was_open = tunnel.up and not tunnel.over
+        ended = tunnel.up or tunnel.over
+        self._part(tunnel, over=ended)
+        if was_open:
+            if abrupt and outcome is Outcome.RESET:
+                tunnel.client.abort()
+            else:
+                tunnel.client.finish()
+        if not tunnel.known:
+            if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT):
+                self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+            else:
+                self.close_with_error(tun)
+            return
+        if not self._tell(self.balancer.setup_ended, tun, ep, ended, outcome, took, report):
+            self._abandon(tun)
+        if ended:
+            self._free(tun)
+
+    def client_ended(self, tun: int, abrupt: bool) -> None:
+        tunnel = self.tunnels.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        setup, was_up = tunnel.setup, tunnel.up
+        self._part(tunnel)
+        if tunnel.known and not was_up:
+            self._tell(self.balancer.client_gone, tun)
+        if setup is not None:
+            setup.call_off(abrupt)
+            if tunnel.known:
+                outcome = Outcome.CANCELLED if setup.written else Outcome.NOT_SENT
+                self._tell(self.balancer.setup_ended, tun, setup.ep, True, outcome,
+                           self.clock() - setup.began, None)
+        self._free(tun)
+
+    def _moved(self, tun: int, ep: int, took: int) -> None:
+        self._tell(self.balancer.setup_ended, tun, ep, True, Outcome.CANCELLED, took, None)
+        self._free(tun)
+
+    def delay_told(self, tun: int, ep: int, delay: int) -> None:
+        self._tell(self.balancer.delay_told, tun, ep, delay)
+
+    def silent(self, tun: int) -> None:
+        self.move(tun)
+
+    def _part(self, tunnel: Tunnel, over: bool = True) -> None:
+        """The tunnel lets go of its setup, and with over of all else but its slot."""
+        tunnel.setup = None
+        tunnel.over = tunnel.over or over
+        if over and tunnel.echo is not None:
+            tunnel.echo.close()
+
+    def _answered(self, tun: int) -> None:
+        """The final answer is out; the slot stays until the setup that may still be out has ended."""
+        tunnel = self.tunnels.get(tun)
+        tunnel.over = True
+        if tunnel.setup is None:
+            self._free(tun)
+
+    def _abandon(self, tun: int) -> None:
+        """The module failed on this tunnel: its client still gets an answer."""
+        tunnel = self.tunnels.get(tun)
+        if tunnel is not None and not tunnel.over:
+            self.client_ended(tun, abrupt=False)
+            tunnel.client.fail()
+
+    def _free(self, tun: int) -> None:
+        """The one place where a tunnel's slot is given back."""
+        self.tunnels.give_back(tun)
+
+    # -- the list and probes ---------------------------------------------------------------------
+
+    def _listed(self, entry: dict[str, Any]) -> Listed:
+        standing = PHASES[entry["phase"]]
+        ep = self.eps[entry["id"]]
+        if standing is not Standing.GONE:
+            self.addresses[ep] = address_of(entry["host_port"])
+        return Listed(ep, int(entry.get("cell") or 0), self.zones[entry.get("locality")],
+                      self.kinds[entry.get("flavor")], float(entry.get("size") or 0), standing,
+                      int(entry.get("up_since_ms") or 0) * MS, mark_of(entry["id"]))
+
+    def list_told(self, whole: bool, members: list[dict[str, Any]]) -> None:
+        """Applied the moment it is read: the grace for drains runs from when discovery wrote it."""
+        entries = [self._listed(entry) for entry in members]
+        self._list_changed(ListForm.WHOLE if whole else ListForm.CHANGES, entries)
+
+    def _list_changed(self, form: ListForm, entries: list[Listed]) -> None:
+        if form is not ListForm.CHANGES:
+            self.ready.clear()
+        self.ready -= {entry.ep for entry in entries}
+        self.ready |= {entry.ep for entry in entries if entry.standing is Standing.READY}
+        self._tell(self.balancer.list_changed, form, entries)
+
+    def list_lost(self) -> None:
+        self._tell(self.balancer.list_changed, ListForm.UNAVAILABLE, [])
+
+    def may_send(self, ep: int) -> bool:
+        return ep in self.ready
+
+    def _woke(self, token: int) -> None:
+        self._tell(self.balancer.woke, token)
+
+    def probe_over(self, ep: int, answered: bool, report: LoadReport) -> None:
+        self._tell(self.balancer.probed, ep, answered, report)
+
+
+def _from_twisted(event: dict[str, Any]) -> None:
+    """Twisted's own warnings and faults go where all else is logged."""
+    if event["log_level"] >= LogLevel.warn:
+        failure = event.get("log_failure")
+        logger.opt(exception=failure and failure.value).error("{}", formatEvent(event))
+
+
+def run(orders: StartingOrders) -> int:
+    from twisted.internet import reactor
+
+    logger.remove()
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False)
+    globalLogBeginner.beginLoggingTo([_from_twisted], redirectStandardIO=False, discardBuffer=True)
+    relay = Relay(reactor, orders)
+    try:
+        relay.listener.open(orders.listen)
+    except CannotListenError as why:
+        raise BadConfigError(str(why)) from why
+    logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.ready),
+                relay.tunnels.most)
+    reactor.run()
+    return 0
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -5,40 +5,21 @@
 import json
 import sys
 import traceback
-from functools import lru_cache
-from hashlib import blake2b
 from typing import Any
 
 from cedarledge.choice import Balancer
 from cedarledge.terms import Listed, LoadReport, Outcome
-from cedarledge.wirehost.words import FORMS, OUTCOMES, STANDINGS, US, ReportReader, site_facts
+from cedarledge.wirehost.words import FORMS, OUTCOMES, STANDINGS
+from cedarledge.words import US, Indices, ReportReader, mark_of, site_facts
 
 RETURNING = 2 | 16  # marks: a client's repeat, a client back from a break or a move
 encode = json.JSONEncoder(separators=(",", ":"), ensure_ascii=False).encode
 
 
-@lru_cache(maxsize=4096)
-def mark_of(word: str) -> int:
-    return int.from_bytes(blake2b(word.encode(), digest_size=8).digest(), "big") >> 1
-
-
 class MalformedError(Exception):
     """Input that does not follow the wire's page."""
 
 
-class Indices(dict):
-    """Hands out small indices for words or wide ids, in the order in which they are first seen."""
-
-    def __init__(self, names: list[str] | None = None) -> None:
-        super().__init__((name, place) for place, name in enumerate(names or ()))
-        self.names: list[Any] = list(names or ())
-
-    def __missing__(self, name: Any) -> int:
-        self[name] = index = len(self.names)
-        self.names.append(name)
-        return index
-
-
 class Instance:
     """One relay: its decision module, its indices, and the host interface that writes to the wire."""
 
--- /dev/null
+++ b/cedarledge/words.py
@@ -0,0 +1,103 @@
+"""What the settings say, as the module's types; both hosts read them here."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from functools import lru_cache
+from hashlib import blake2b
+from typing import Any
+
+from cedarledge.terms import MS, SECOND, Dedup, Effect, LoadReport, ProfileRow, SiteFacts
+
+US = 1_000
+
+EFFECTS = {"pure": Effect.REPEATABLE, "token": Effect.REFERENCED, "side_effect": Effect.ONCE_ONLY}
+DEDUPS = {"all": Dedup.ALL, "zone": Dedup.ZONE, "cell": Dedup.CELL}
+
+# Report columns by the module's names, with the factor to its units. The pages on the sockets show a report
+# with shorter names than those that the settings list, so both are known.
+COLUMNS = {"outstanding": ("held", 1), "backlog": ("queued", 1), "utilization": ("busy_share", 1),
+           "recent_ms": ("service_time", MS), "errors_per_s": ("errors_per_s", 1),
+           "inflight": ("held", 1), "queue": ("queued", 1), "util": ("busy_share", 1),
+           "latency_ms": ("service_time", MS), "eps": ("errors_per_s", 1)}
+# What x0 and x1 mean is told by the kind of service; where it is not known they are passed over.
+CONNECTION_COLUMNS = {"x0": ("asked", 1), "x1": ("piled_up", SECOND)}
+
+
+@lru_cache(maxsize=4096)
+def mark_of(word: str) -> int:
+    """A number below 2**63 that every relay has for the same backend."""
+    return int.from_bytes(blake2b(word.encode(), digest_size=8).digest(), "big") >> 1
+
+
+class Indices(dict):
+    """Hands out small indices for words or wide ids, in the order in which they are first seen."""
+
+    def __init__(self, names: list[str] | None = None) -> None:
+        super().__init__((name, place) for place, name in enumerate(names or ()))
+        self.names: list[Any] = list(names or ())
+
+    def __missing__(self, name: Any) -> int:
+        self[name] = index = len(self.names)
+        self.names.append(name)
+        return index
+
+
+class ReportReader:
+    """Reads a load report's columns, leaving out those that mean nothing here."""
+
+    def __init__(self, settings: Mapping[str, Any]) -> None:
+        self.columns = dict(COLUMNS)
+        if settings.get("service_type") == "conn":
+            self.columns.update(CONNECTION_COLUMNS)
+
+    def __call__(self, stats: Mapping[str, float]) -> LoadReport:
+        known = {}
+        for name, value in stats.items():
+            column = self.columns.get(name)
+            if column is not None and value is not None:
+                known[column[0]] = value * column[1]
+        return LoadReport(**known)
+
+
+def site_facts(settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]) -> SiteFacts:
+    allowed = settings["allowed"]
+    safety = settings["safety"]
+    domain = settings.get("domain") or {}
+    goals = domain.get("message_aim") or ()
+    return SiteFacts(
+        now=now,
+        seed=seed,
+        me=settings.get("me", 0),
+        relays=max(1, settings.get("group_size") or 1),
+        zone=zones[settings.get("zone")],
+        profiles=tuple(
+            _profile(row, goals[place] if place < len(goals) else 0)
+            for place, row in enumerate(settings.get("profiles") or ())),
+        ranked=settings.get("weight_kind", "off") != "off",
+        must_ask=settings.get("membership_mode") == "ask",
+        ask_every=int(safety.get("ask_every") or 0) * US,
+        probes=bool(allowed.get("probes")),
+        come_back_max=int(allowed.get("max_retry_after") or 0) * US if allowed.get("retry_after") else 0,
+        most_setups=int(allowed.get("most_setups") or 1),
+        cold_from=float(safety["cold_from"]),
+        warm_within=int(safety["warm_within"]) * US,
+        fall_multiple=float(safety["fall_multiple"]),
+        fall_span=int(safety["overload_for"]) * US,
+        by_work=settings.get("credit_basis") == "work",
+        grouped=bool(domain.get("groups")),
+        quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
+        over_share_credit=float(settings.get("overage_credit", 1)),
+    )
+
+
+def _profile(row: Mapping[str, Any], message_goal: float) -> ProfileRow:
+    return ProfileRow(
+        # A kind that the page does not name is held to the strictest rule.
+        effect=EFFECTS.get(row.get("semantics"), Effect.ONCE_ONLY),
+        dedup=DEDUPS.get(row.get("group"), Dedup.CELL),
+        window=int(row.get("window") or 0) * US,
+        setup_goal=int(row["setup_goal"]) * US,
+        message_goal=int(message_goal * US),
+        credit=float(row["credit"]),
+    )
