--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import resource
 import sys
 from collections.abc import Callable
@@ -125,6 +126,7 @@
         if tunnel is None or tunnel.over or not tunnel.up:
             return
         setup = tunnel.setup
+        logger.debug("tunnel {} is moved off {}", tun, self.eps.names[setup.ep])
         self._part(tunnel)
         tunnel.client.move()
         setup.call_off()
@@ -185,6 +187,7 @@
 
     def setup_up(self, tun: int, line: bytes, took: int) -> None:
         tunnel = self.tunnels.get(tun)
+        logger.debug("tunnel {} at {}: up after {} ms", tun, self.eps.names[tunnel.setup.ep], took // MS)
         tunnel.up = True
         setup, client = tunnel.setup, tunnel.client
         tunnel.echo = Echo(self.echoes, tun, setup.ep)
@@ -234,6 +237,8 @@
         tunnel = self.tunnels.get(tun)
         if tunnel is None:
             return
+        logger.debug("tunnel {} at {}: {} after {} ms, up {}", tun, self.eps.names[ep], outcome.name,
+                     took // MS, tunnel.up)
         was_open = tunnel.up and not tunnel.over
         ended = tunnel.up or tunnel.over
         self._part(tunnel, over=ended)
@@ -274,6 +279,7 @@
         self._free(tun)
 
     def delay_told(self, tun: int, ep: int, delay: int) -> None:
+        logger.debug("tunnel {} at {}: a message takes {} ms", tun, self.eps.names[ep], delay // MS)
         self._tell(self.balancer.delay_told, tun, ep, delay)
 
     def silent(self, tun: int) -> None:
@@ -337,6 +343,7 @@
         self._tell(self.balancer.woke, token)
 
     def probe_over(self, ep: int, answered: bool, report: LoadReport) -> None:
+        logger.debug("probe of {}: {}, {}", self.eps.names[ep], answered, report)
         self._tell(self.balancer.probed, ep, answered, report)
 
 
@@ -351,7 +358,8 @@
     from twisted.internet import reactor
 
     logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False)
+    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", backtrace=False,
+               level=os.environ.get("LOGURU_LEVEL", "INFO"))
     globalLogBeginner.beginLoggingTo([_from_twisted], redirectStandardIO=False, discardBuffer=True)
     relay = Relay(reactor, orders)
     try:
