Steady probes once a second where no host tells of slow messages

Ruled out by a trace of every line: clients' lines are answered within 0.12 ms there too, so the relay can't time messages; the relay was never late itself. Wrong: _probe_every in choice.py, which slowed the steady probes to one in four seconds for want of new tunnels, while 14 open ones waited for news. Now SiteFacts says whether the host hears of delays, and where it does not the probes keep the design's one a second; nothing changes in the simulator.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -784,6 +784,9 @@
 
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
+        if not self.facts.delays_told:
+            # Only a probe tells that a backend has turned slow, and open tunnels wait for it, not new ones.
+            return PROBE_EVERY
         probes = PROBES_A_TUNNEL * self._arrivals_a_second(now)
         return int(min(max(PROBE_EVERY, SECOND / max(probes, 0.1)), PROBE_SELDOM))
 
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -69,7 +69,9 @@
             self.kinds = Indices(settings.get("host_types"))
             self.profiles = {row["name"]: place for place, row in enumerate(settings.get("profiles") or ())}
             self.tenants = {row["name"]: place for place, row in enumerate(settings.get("tenants") or ())}
-            self.facts = site_facts(settings, orders.seed, self.clock(), self.zones)
+            # Clients' lines come back at once however slow the backend's messages are; they show hangs alone.
+            self.facts = site_facts(settings, orders.seed, self.clock(), self.zones)._replace(
+                delays_told=False)
             allowed = settings["allowed"]
             self.connect_within = int(allowed["connect_timeout"]) * US
             known = [self._listed(entry) for entry in orders.known["members"]]
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -103,6 +103,7 @@
     must_ask: bool
     ask_every: int
     probes: bool
+    delays_told: bool  # the host hears how long messages take at a backend, not only that none come back
     come_back_max: int  # 0: clients are not told when to return
     most_setups: int
     cold_from: float
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -78,6 +78,7 @@
         must_ask=settings.get("membership_mode") == "ask",
         ask_every=int(safety.get("ask_every") or 0) * US,
         probes=bool(allowed.get("probes")),
+        delays_told=bool(domain.get("tells_delay")),
         come_back_max=int(allowed.get("max_retry_after") or 0) * US if allowed.get("retry_after") else 0,
         most_setups=int(allowed.get("most_setups") or 1),
         cold_from=float(safety["cold_from"]),
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -124,6 +124,14 @@
         assert len({ep for _, ep in ledger.probes}) == 5
 
 
+def test_steady_probes_do_not_slow_down_where_nothing_else_tells_of_a_slow_backend() -> None:
+    ledger = fleet(4, delays_told=False)
+    for ep in range(4):
+        ledger.open(ledger.arrive(key=str(ep)))
+    ledger.run(12 * SECOND)
+    assert len(ledger.probes) >= 11
+
+
 def test_a_relay_looks_quickly_at_as_many_members_as_it_holds_clients() -> None:
     for held, looked in ((3, 4), (9, 6)):
         ledger = fleet(6, None)
