Silent tunnels, drains and SIGTERM move clients, paced; the program tested over sockets

The module learns two events: silent (an open tunnel's lines get no answer) and stopping (this relay ends). A draining member's clients are moved within 4 s. A backend's line past the limit costs its client a MOVE, not a cut: found by the test for bad input.

Tests start the program and speak to it with stand-ins for clients, backends and discovery.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -13,7 +13,6 @@
 
 import math
 import random
-from collections.abc import Iterable
 from hashlib import blake2b
 
 from cedarledge.terms import (
@@ -47,6 +46,8 @@
 # Moves leave a member this much of what it can do, less what it needs to work off what is piled up.
 RELIEF, DRAIN_TIME, ROOM = 0.8, 2 * SECOND, 0.9
 MOVES_A_TICK = 2
+# How long a draining member's clients have to be moved in: it ends soon, and sends many away by itself.
+EMPTY_WITHIN = 4 * SECOND
 # How long moves take to show in reports, which are refreshed in turn and arrive late.
 EASE = 2 * SECOND
 # With more connections than this at a member some of them fit any surplus worth a move.
@@ -104,11 +105,6 @@
 class Member:
     """What this relay knows of one backend."""
 
-    __slots__ = ("asked", "busy", "cell", "credit", "credit_at", "delay", "delay_at", "eased_at", "ep",
-                 "full_until", "kind", "lately", "load", "load_then", "mark", "open",
-                 "out_until", "pending", "probe_at", "seen_at", "shown", "standing", "started",
-                 "strikes", "tie", "tuns", "weight", "zone")
-
     def __init__(self, ep: int, tie: float) -> None:
         self.ep = ep
         self.tie = tie
@@ -117,7 +113,7 @@
         self.lately = Fading(SECOND)
         self.tuns: dict[int, Tunnel] = {}
         self.started = -1
-        self.probe_at = 0
+        self.probe_at = self.drain_by = 0
         self.standing = Standing.GONE
         self.forget()
 
@@ -137,10 +133,6 @@
 class Tunnel:
     """A tunnel from its arrival to its end."""
 
-    __slots__ = ("bound", "bound_at", "cells", "ep", "give_up", "group", "key", "listing", "load",
-                 "look_until", "looks", "moved", "opened_at", "out", "over", "profile", "seed", "sent_at",
-                 "setups", "tenant", "tried")
-
     def __init__(self, profile: int, tenant: int | None, key: str | None, group: str | None, give_up: int,
                  load: float) -> None:
         self.profile = profile
@@ -177,8 +169,7 @@
     def __init__(self, host: Host, facts: SiteFacts) -> None:
         self.host = host
         self.facts = facts
-        source = random.Random(facts.seed)
-        self.chance = source.random
+        self.chance = random.Random(facts.seed).random
         self.members: dict[int, Member] = {}
         self.cells: dict[int, list[Member]] = {}
         self.ready = 0  # members in all cells
@@ -193,22 +184,19 @@
         self.yielding = self.rate = self.arrival_rate = 0.0
         self.fleet, self.fleet_until = -1.0, 0
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
-        self.arrivals = Fading(10 * SECOND)
-        self.retries = Fading(10 * SECOND)
+        self.arrivals, self.retries = Fading(10 * SECOND), Fading(10 * SECOND)
         self.met: dict[str, int] = {}
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
-        self.failures = Fading(3 * SECOND)
-        self.openings = Fading(3 * SECOND)
+        self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
         self.tenant_open: dict[int, int] = {}
         self.next_probe = facts.now
-        self.first_looks = 0
+        self.stop_by = self.first_looks = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
-        goals = [row.message_goal for row in rows if row.message_goal]
-        self.tightest = min(goals) if goals else 0
+        self.tightest = min((row.message_goal for row in rows if row.message_goal), default=0)
         if facts.must_ask:
             host.watch()
         host.wake(int(TICK * (0.5 + 0.5 * self.chance())), TICK_TOKEN)
@@ -239,6 +227,8 @@
             member.cell, member.zone, member.kind = entry.cell, entry.zone, entry.kind
             member.mark = entry.mark
             member.weight = entry.weight if self.facts.ranked else 1.0
+            if entry.standing is Standing.DRAINING and member.standing is not Standing.DRAINING:
+                member.drain_by = now + EMPTY_WITHIN
             member.started, member.standing = entry.started, entry.standing
             if not member.credit_at:
                 member.credit, member.credit_at = self.chance(), now
@@ -319,12 +309,6 @@
             member.busy = asked > limit + (-HYSTERESIS if member.busy else HYSTERESIS)
         return member.busy
 
-    def _is_drowning(self, now: int, member: Member) -> bool:
-        return now < member.full_until or self._asked(now, member) > DROWNING
-
-    def _limit(self, fleet: float) -> float:
-        return min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
-
     def _is_out(self, now: int, member: Member) -> bool:
         """Whether failures keep a member aside; its return is by one setup at a time."""
         return member.strikes > 0 and (now < member.out_until or member.pending > 0)
@@ -450,10 +434,7 @@
         return (self.facts.probes and tun.looks < LOOKS and now <= tun.look_until - MS
                 and now - member.seen_at > FRESH and not self._is_cold(now, member))
 
-    def _looked(self, now: int, ep: int) -> None:
-        self._wait_no_longer(now, [tun_id for tun_id, at in self.looking.items() if at == ep])
-
-    def _wait_no_longer(self, now: int, waiting: Iterable[int]) -> None:
+    def _wait_no_longer(self, now: int, waiting: list[int]) -> None:
         for tun_id in waiting:
             del self.looking[tun_id]
             if tun_id in self.tuns:
@@ -468,13 +449,13 @@
                 if tun_id not in self.tuns or now > self.tuns[tun_id].look_until - MS}
         for ep in late.values():
             self.members[ep].full_until = max(self.members[ep].full_until, now + BUSY_HOLD)
-        self._wait_no_longer(now, late)
+        self._wait_no_longer(now, list(late))
 
     def _pick(self, now: int, tun: Tunnel) -> tuple[Member | None, str]:
         """The ordinary path, and the departures for when its cell has no member to offer."""
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
-        limit = self._limit(fleet)
+        limit = min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
         if tun.listing != self.listing:
             tun.listing, tun.seed = self.listing, digest_of(home)
             tun.cells = sorted(self.cells, key=lambda cell: len(self.cells[cell])
@@ -504,7 +485,8 @@
                 return min(free, key=lambda member: self._standing_count(now, member, mean)), "skip"
             # A cell may be full while others have room, as keys spread unevenly: the key's next cell.
             fallback = fallback or [(self._standing_count(now, member, mean), member.tie, member)
-                                    for member in sound if not self._is_drowning(now, member)]
+                                    for member in sound if now >= member.full_until
+                                    and self._asked(now, member) <= DROWNING]
             drowning += len(sound)
             last += members
         if fallback:
@@ -739,7 +721,7 @@
         else:
             # Too busy to answer, hung or gone: the list would say so seconds later, if at all.
             member.full_until = max(member.full_until, now + BUSY_HOLD)
-        self._looked(now, ep)
+        self._wait_no_longer(now, [tun_id for tun_id, at in self.looking.items() if at == ep])
 
     def _learn_report(self, now: int, member: Member, report: LoadReport) -> None:
         member.seen_at = now
@@ -813,8 +795,30 @@
         if now >= self.next_log:
             self.next_log = now + LOG_EVERY
             self.host.log("placements " + " ".join(f"{rule} {count}" for rule, count in self.by_rule.items()))
+        if self.stop_by:
+            self._empty(now, self.tuns, self.stop_by)
+            return
+        for member in list(self.holding.values()):
+            if member.standing is Standing.DRAINING:
+                self._empty(now, member.tuns, member.drain_by)
         self._relieve(now)
 
+    def stopping(self, now: int, within: int) -> None:
+        """This relay ends then and cuts off what is still open; newcomers go on being placed."""
+        self.stop_by = now + within
+
+    def silent(self, now: int, tun_id: int) -> None:
+        """Lines on an open tunnel get no answer: a hung or vanished backend, of which nothing else tells."""
+        tun = self.tuns.get(tun_id)
+        if tun is not None and tun.opened_at and not tun.moved:
+            self._move(tun_id)
+
+    def _empty(self, now: int, tuns: dict[int, Tunnel], by: int) -> None:
+        """Moves a tick's part of the tunnels: all are to be gone by then, and not come back as one wave."""
+        staying = [tun_id for tun_id, tun in tuns.items() if tun.opened_at and not tun.moved]
+        for tun_id in staying[:math.ceil(len(staying) * TICK / max(TICK, by - now))]:
+            self._move(tun_id)
+
     def _relieve(self, now: int) -> None:
         """Moves a few connections off members that are past serving them, while others have room."""
         fleet = self._fleet(now)
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.interfaces import IPullProducer
@@ -28,6 +29,7 @@
     def may_send(self, ep: int) -> bool: ...
     def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
     def lines_back(self, tun: int, lines: list[bytes]) -> None: ...
+    def garbled(self, tun: int) -> None: ...
     def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
                    abrupt: bool) -> None: ...
     def probe_over(self, ep: int, answered: bool, report: LoadReport) -> None: ...
@@ -139,6 +141,14 @@
             return None
         return outcome, read_report(rest, self.backends.reader) if rest else None
 
+    def bad_input(self, why: str) -> None:
+        if self.opened:
+            # The backend still answers, so its client may not be cut off.
+            logger.warning("backend: {}", why)
+            self.backends.watcher.garbled(self.tun)
+        else:
+            super().bad_input(why)
+
     def peer_ended(self, abrupt: bool) -> None:
         if self.opened:
             outcome, report = self.last or (Outcome.RESET, None)
@@ -225,7 +235,7 @@
         self.probe_within = probe_within
         self.idle_within = idle_within
         self.probe_word = probe_word
-        self._probes: dict[int, ProbeLink] = {}
+        self.probes: dict[int, ProbeLink] = {}
 
     def set_up(self, tun: int, ep: int, address: Address, head: Callable[[int], bytes],
                timeout: int, connect_within: int) -> SetupLink:
@@ -234,14 +244,14 @@
         return link
 
     def probe(self, ep: int, address: Address) -> None:
-        link = self._probes.get(ep)
+        link = self.probes.get(ep)
         if link is not None and link.address != address:
             self.forget(link)
             link.abort()
             link = None
         if link is None:
             try:
-                link = self._probes[ep] = ProbeLink(self, ep, address)
+                link = self.probes[ep] = ProbeLink(self, ep, address)
             except FullError:
                 # Told later: the module is in the midst of asking.
                 self.means.deadlines.after(0, self.watcher.probe_over, ep, False, LoadReport())
@@ -249,5 +259,5 @@
         link.ask()
 
     def forget(self, link: ProbeLink) -> None:
-        if self._probes.get(link.ep) is link:
-            del self._probes[link.ep]
+        if self.probes.get(link.ep) is link:
+            del self.probes[link.ep]
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -4,6 +4,7 @@
 
 import os
 import resource
+import signal
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -34,6 +35,10 @@
 # Connections that were open before the run must be up again within 40 s of its start.
 ADOPT_WITHIN, ADOPT_CONNECT_WITHIN, ADOPT_AGAIN = 38 * SECOND, 4 * SECOND, 250 * MS
 
+# The platform kills a relay no sooner than the longest client timeout, this at most, and a little more after
+# SIGTERM; new connections go on coming for a while.
+LONGEST_STOP, NEWCOMERS_FOR, STOP_LOOK = 3 * SECOND, SECOND, 100 * MS
+
 
 class Tunnel:
     """A client's request and what it holds; its slot is given back in Relay._free."""
@@ -64,6 +69,7 @@
         self.eps = Indices()
         self.addresses: dict[int, Address] = {}
         self.ready: set[int] = set()
+        self.stopping = False
         try:
             self.zones = Indices(settings.get("dcs"))
             self.kinds = Indices(settings.get("host_types"))
@@ -83,6 +89,8 @@
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
                 probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
                 probe_word=b"PING" if settings["load_report"]["how"] == "off" else b"STATS")
+            self.stop_within = min(LONGEST_STOP, US * max(
+                int(row["client_timeout"]) for row in settings["profiles"]))
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
@@ -284,9 +292,14 @@
         logger.debug("a message takes {} ms at {}", delay // MS, self.eps.names[ep])
         self._tell(self.balancer.delay_told, ep, delay)
 
-    def silent(self, tun: int) -> None:
+    def garbled(self, tun: int) -> None:
+        """Its backend's lines can't be passed on, so the client is better off elsewhere."""
         self.move(tun)
 
+    def silent(self, tun: int) -> None:
+        logger.info("tunnel {} is silent", tun)
+        self._tell(self.balancer.silent, tun)
+
     def _part(self, tunnel: Tunnel, over: bool = True) -> None:
         """The tunnel lets go of its setup, and with over of all else but its slot."""
         tunnel.setup = None
@@ -312,6 +325,34 @@
         """The one place where a tunnel's slot is given back."""
         self.tunnels.give_back(tun)
 
+    # -- the end ---------------------------------------------------------------------------------
+
+    def stop(self) -> None:
+        """The platform wants this relay to end, and will kill it."""
+        if self.stopping:
+            return
+        self.stopping = True
+        logger.info("stops within {} ms: {} tunnels", self.stop_within // MS, self.tunnels.used)
+        self._tell(self.balancer.stopping, self.stop_within * 2 // 3)
+        self.deadlines.after(STOP_LOOK, self._end_if_empty, self.clock() + NEWCOMERS_FOR)
+        self.deadlines.after(self.stop_within, self._answer_all)
+
+    def _end_if_empty(self, earliest: int) -> None:
+        if self.means.links.used > len(self.backends.probes) or self.clock() < earliest:
+            self.deadlines.after(STOP_LOOK, self._end_if_empty, earliest)
+            return
+        logger.info("nothing is held: ends")
+        self.means.reactor.stop()
+
+    def _answer_all(self) -> None:
+        """What is still held now would be cut off, so it gets its answer or its MOVE; newcomers likewise."""
+        for tun in self.tunnels.handles():
+            if self.tunnels.get(tun).up:
+                self.move(tun)
+            else:
+                self._abandon(tun)
+        self.deadlines.after(STOP_LOOK, self._answer_all)
+
     # -- the list and probes ---------------------------------------------------------------------
 
     def _listed(self, entry: dict[str, Any]) -> Listed:
@@ -373,5 +414,7 @@
         raise BadConfigError(str(why)) from why
     logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.ready),
                 relay.tunnels.most)
+    # Twisted's own handler would end the reactor, and every connection with it. A handler may run anywhere.
+    reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.stop))
     reactor.run()
     return 0
--- a/cedarledge/net/slots.py
+++ b/cedarledge/net/slots.py
@@ -55,5 +55,6 @@
         self._free.append(place)
         self.used -= 1
 
-    def holders(self) -> list[Holder]:
-        return [holder for holder in self._holders if holder is not None]
+    def handles(self) -> list[int]:
+        return [turn * self.most + place for place, turn in enumerate(self._turns)
+                if self._holders[place] is not None]
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,412 @@
+"""What the tests share: a recording host that holds the balancer to the four rules, and, for the program on
+sockets, stand-ins for clients, backends and discovery."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import IO
+
+from cedarledge.choice import TICK, Balancer
+from cedarledge.terms import (
+    MS,
+    NEVER_RAN,
+    SECOND,
+    Dedup,
+    Effect,
+    Listed,
+    ListForm,
+    LoadReport,
+    Outcome,
+    ProfileRow,
+    SiteFacts,
+    Standing,
+)
+
+START = 1000 * SECOND
+
+
+def facts(window: int = 2 * SECOND, **other: object) -> SiteFacts:
+    rows = tuple(
+        ProfileRow(effect, dedup, window, 300 * MS, 50 * MS, 1.0 + place)
+        for place, (effect, dedup) in enumerate((
+            (Effect.REPEATABLE, Dedup.ALL), (Effect.REFERENCED, Dedup.ALL), (Effect.REFERENCED, Dedup.ZONE),
+            (Effect.REFERENCED, Dedup.CELL), (Effect.ONCE_ONLY, Dedup.ALL))))
+    plain: dict = dict(
+        now=START, seed=1, me=0, relays=2, zone=0, profiles=rows, ranked=False, must_ask=True,
+        ask_every=10 * SECOND, probes=True, delays_told=True, come_back_max=SECOND, most_setups=4,
+        cold_from=0.2, warm_within=10 * SECOND, fall_multiple=3.0, fall_span=2 * SECOND, by_work=False,
+        grouped=False, quotas=(), over_share_credit=1.0)
+    return SiteFacts(**(plain | other))
+
+
+def listed(ep: int, standing: Standing = Standing.READY, started: int = 0, cells: int = 2,
+           weight: float = 1.0) -> Listed:
+    return Listed(ep, ep % cells, ep % 2, 0, weight, standing, started, ep)
+
+
+@dataclass
+class Case:
+    profile: int
+    arrived: int
+    give_up: int
+    answered: bool = False
+    setups: list[list] = field(default_factory=list)  # [ep, sent at, outcome or None, opened]
+
+
+class Ledger:
+    """Records every call, and fails on the first that breaks a rule."""
+
+    def __init__(self, site: SiteFacts, answers: bool = True) -> None:
+        self.site = site
+        self.answers = answers
+        self.now = site.now
+        self.cases: dict[int, Case] = {}
+        self.listing: dict[int, Listed] = {}
+        self.sends: list[tuple[int, int, int]] = []  # time, tunnel, ep
+        self.probes: list[tuple[int, int]] = []
+        self.moves: list[int] = []
+        self.declines: list[tuple[int, int]] = []
+        self.watches: list[int] = []
+        self.wakes: list[tuple[int, int]] = []
+        self.told: dict[int, float] = {}  # what each backend last reported, and says again when looked at
+        self.balancer = Balancer(self, site)
+
+    # -- the host interface, with the rules ------------------------------------------------------
+
+    def _may_have_run(self, case: Case) -> list[list]:
+        return [setup for setup in case.setups if setup[2] not in NEVER_RAN]
+
+    def send(self, tun: int, ep: int, timeout: int) -> None:
+        case, row = self.cases[tun], self.site.profiles[self.cases[tun].profile]
+        assert not case.answered, "a send after the final answer"
+        assert all(setup[2] is not None for setup in case.setups), "two setups out at once"
+        assert len(case.setups) < self.site.most_setups
+        assert 0 < timeout <= case.give_up - self.now, "a time-out past the client timeout"
+        assert self.listing[ep].standing is Standing.READY, "a send to a draining or gone backend"
+        ran = self._may_have_run(case)
+        if ran and row.effect is not Effect.REPEATABLE:
+            assert row.effect is Effect.REFERENCED, "a once-only tunnel may run twice"
+            first = ran[0]
+            assert self.now < first[1] + row.window, "a repeat outside the window"
+            one, two = self.listing[first[0]], self.listing[ep]
+            assert (row.dedup is Dedup.ALL or (row.dedup is Dedup.ZONE and one.zone == two.zone)
+                    or (row.dedup is Dedup.CELL and one.cell == two.cell)), "a repeat outside the group"
+        case.setups.append([ep, self.now, None, False])
+        self.sends.append((self.now, tun, ep))
+
+    def decline(self, tun: int, come_back: int) -> None:
+        case, row = self.cases[tun], self.site.profiles[self.cases[tun].profile]
+        assert not case.answered, "two final answers"
+        assert 0 <= come_back <= self.site.come_back_max
+        assert (not self._may_have_run(case) or row.effect is Effect.REPEATABLE
+                or (row.effect is Effect.REFERENCED and row.dedup is Dedup.ALL)), "a decline after a run"
+        case.answered = True
+        self.declines.append((self.now, tun))
+
+    def close_with_error(self, tun: int) -> None:
+        assert not self.cases[tun].answered, "two final answers"
+        self.cases[tun].answered = True
+
+    def move(self, tun: int) -> None:
+        assert self.cases[tun].setups[-1][3], "a move of a tunnel that is not open"
+        self.moves.append(tun)
+
+    def probe(self, ep: int) -> None:
+        self.probes.append((self.now, ep))
+
+    def wake(self, delay: int, token: int) -> None:
+        assert delay > 0
+        self.wakes.append((self.now + delay // 1000 * 1000, token))  # a host that counts microseconds
+
+    def watch(self) -> None:
+        self.watches.append(self.now)
+
+    def log(self, text: str) -> None:
+        pass
+
+    # -- what happens ------------------------------------------------------------------------------
+
+    def check(self) -> None:
+        for case in self.cases.values():
+            held = case.setups and case.setups[-1][2] is None
+            looks = self.now < case.arrived + self.site.profiles[case.profile].setup_goal // 4
+            assert case.answered or held or looks, "a tunnel with neither an answer nor a setup out"
+
+    def tell(self, form: ListForm, *entries: Listed) -> None:
+        if form is not ListForm.UNAVAILABLE:
+            if form is not ListForm.CHANGES:
+                for ep, old in self.listing.items():
+                    self.listing[ep] = old._replace(standing=Standing.GONE)
+            self.listing |= {entry.ep: entry for entry in entries}
+        self.balancer.list_changed(self.now, form, list(entries))
+
+    def arrive(self, profile: int = 0, key: str | None = None, budget: int = SECOND,
+               hint: float | None = None, group: str | None = None, tenant: int | None = None) -> int:
+        tun = len(self.cases)
+        self.cases[tun] = Case(profile, self.now, self.now + budget)
+        self.balancer.tunnel_arrived(self.now, tun, profile, tenant, key, group, budget, hint, False)
+        while self.answers and tun in self.balancer.looking:
+            ep = self.balancer.looking[tun]
+            self.report(ep, self.told.get(ep, 0.0))
+        return tun
+
+    def adopt(self, ep: int, hint: float | None = None) -> int:
+        tun = len(self.cases)
+        self.cases[tun] = Case(0, self.now, self.now, True, [[ep, self.now, None, True]])
+        self.balancer.adopted(self.now, tun, 0, None, None, None, ep, hint)
+        return tun
+
+    def open(self, tun: int) -> None:
+        setup = self.cases[tun].setups[-1]
+        setup[3] = self.cases[tun].answered = True
+        self.balancer.opened(self.now, tun, self.now - setup[1])
+
+    def end(self, tun: int, outcome: Outcome) -> None:
+        case = self.cases[tun]
+        setup = case.setups[-1]
+        setup[2] = outcome
+        if outcome is Outcome.DONE:
+            case.answered = True
+        self.balancer.setup_ended(self.now, tun, setup[0], case.answered, outcome, self.now - setup[1], None)
+
+    def report(self, ep: int, asked: float) -> None:
+        self.told[ep] = asked
+        self.balancer.probed(self.now, ep, True, LoadReport(asked=asked))
+
+    def run(self, span: int) -> None:
+        """Lets time pass, with the wakes that fall due."""
+        end = self.now + span
+        while due := [wake for wake in self.wakes if wake[0] <= end]:
+            wake = min(due)
+            self.wakes.remove(wake)
+            self.now = wake[0]
+            self.balancer.woke(self.now, wake[1])
+        self.now = end
+
+
+def fleet(size: int = 6, asked: float | None = 0.3, cells: int = 2, **other: object) -> Ledger:
+    ledger = Ledger(facts(**other))
+    ledger.tell(ListForm.RESTORED, *(listed(ep, cells=cells) for ep in range(size)))
+    if asked is not None:
+        for ep in range(size):
+            ledger.report(ep, asked)
+    return ledger
+
+
+# -- the program on sockets ------------------------------------------------------------------------
+
+SETTINGS = {
+    "allowed": {"most_setups": 4, "probes": True, "connect_timeout": 150_000, "conn_idle": 15_000_000},
+    "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3, "overload_for": 2_000_000,
+               "ask_every": 2_000_000},
+    "profiles": [{"name": name, "semantics": semantics, "group": "all", "window": 2_000_000, "credit": 1,
+                  "setup_goal": 300_000, "client_timeout": 1_500_000}
+                 for name, semantics in (("feed", "pure"), ("bill", "side_effect"))],
+    "domain": {"message_aim": [100_000, 100_000], "tells_delay": True, "groups": False},
+    "load_report": {"columns": ["utilization", "recent_ms", "x0"], "how": "on_probe"},
+    "service_type": "conn", "membership_mode": "ask", "group_size": 1, "dcs": ["here"], "zone": "here",
+    "host_types": ["box"], "weight_kind": "off", "unheard": {"of": "passed over"},
+}
+
+
+def reset(link: socket.socket, file: IO[bytes]) -> None:
+    link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    file.close()
+    link.close()
+
+
+class Listening:
+    """A server on loopback with a thread for each connection."""
+
+    def __init__(self) -> None:
+        self.socket = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        with contextlib.suppress(OSError):
+            while True:
+                link, _ = self.socket.accept()
+                threading.Thread(target=self._serve, args=(link,), daemon=True).start()
+
+    def _serve(self, link: socket.socket) -> None:
+        with contextlib.suppress(OSError, ValueError):
+            self.serve(link, link.makefile("rb"))
+
+    def serve(self, link: socket.socket, lines: IO[bytes]) -> None:
+        raise NotImplementedError
+
+
+class Backend(Listening):
+    """Answers OPEN by the next of its modes, the last for good: a line, "reset" or "hang". Then it echoes."""
+
+    def __init__(self, name: str, *modes: str) -> None:
+        self.name = name
+        self.modes = list(modes) or ["UP r"]
+        self.ends: list[str] = []  # how clients' connections ended, as seen here
+        self.deaf = False
+        self.stats = "utilization=0.2,recent_ms=4,x0=0.2"
+        self.heads: list[str] = []
+        self.opened: list[socket.socket] = []
+        super().__init__()
+
+    def entry(self, phase: str = "up") -> dict:
+        return {"id": self.name, "host_port": self.address, "locality": "here", "flavor": "box", "cell": 0,
+                "phase": phase, "size": 1.0, "up_since_ms": 0}
+
+    def serve(self, link: socket.socket, lines: IO[bytes]) -> None:
+        end = "ended"
+        try:
+            self.talk(link, lines)
+        except ConnectionResetError:
+            end = "reset"
+        self.ends.append(end)
+        with contextlib.suppress(OSError):
+            lines.close()
+            link.close()
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        for line in lines:
+            if line == b"STATS\r\n":
+                link.sendall(f"PONG {self.stats}\r\n".encode())
+            elif not line.startswith(b"OPEN"):
+                if line == b"RESET\r\n":
+                    reset(link, lines)
+                    return
+                if not self.deaf:
+                    link.sendall(line)
+            else:
+                self.heads.append(line.decode().strip())
+                mode = self.modes.pop(0) if len(self.modes) > 1 else self.modes[0]
+                if mode == "reset":
+                    reset(link, lines)
+                    return
+                if mode != "hang":
+                    link.sendall(mode.encode() + b"\r\n")
+                if mode.startswith("UP"):
+                    self.opened.append(link)
+
+
+def http(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
+class Discovery(Listening):
+    """Holds the list and its revision; a watch waits for the next change."""
+
+    def __init__(self, members: list[dict]) -> None:
+        self.members = members
+        self.revision = 7
+        self.changes: list[dict] = []
+        self.calls: list[tuple[float, str]] = []
+        self.answered: list[float] = []
+        self.broken: bytes | None = None  # said in place of the next answers
+        self.changed = threading.Condition()
+        super().__init__()
+
+    def tell(self, *entries: dict) -> None:
+        with self.changed:
+            self.changes = list(entries)
+            self.revision += 1
+            self.changed.notify_all()
+
+    def serve(self, link: socket.socket, lines: IO[bytes]) -> None:
+        for line in lines:
+            if not line.startswith(b"GET"):
+                continue
+            target = line.split()[1].decode()
+            self.calls.append((time.monotonic(), target))
+            since, wait = (int(part.split("=")[1]) for part in target.partition("?")[2].split("&"))
+            with self.changed:
+                if self.broken is None:
+                    self.changed.wait_for(lambda since=since: self.revision > since, wait / 1000)
+                news = self.changes if self.revision > since else []
+                body = json.dumps({"revision": self.revision, "complete": False, "members": news}).encode()
+            self.answered.append(time.monotonic())
+            link.sendall(self.broken or http(body))
+
+
+class Client:
+    """One client's connection to the relay."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.link = socket.create_connection(address, timeout=8)
+        self.file = self.link.makefile("rb")
+
+    def say(self, line: str) -> str:
+        self.link.sendall(line.encode() + b"\r\n")
+        return self.hear()
+
+    def hear(self) -> str:
+        """The next line; empty at the end, "reset" where the connection was reset."""
+        try:
+            return self.file.readline().decode().removesuffix("\r\n")
+        except ConnectionResetError:
+            return "reset"
+
+    def open(self, key: str = "k", names: str = "c=feed,d=1500,g=g1") -> str:
+        return self.say(f"OPEN 9b1f03aa5c7e2d41 {key} {names}")
+
+
+class Program:
+    """The relay, started as a program."""
+
+    def __init__(self, tmp: Path, backends: list[Backend], **other: object) -> None:
+        self.backends = backends
+        self.discovery = Discovery([backend.entry() for backend in backends])
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        told = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": self.discovery.address,
+                "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+                "known": {"revision": 7, "complete": True, "members": self.discovery.members},
+                "settings": SETTINGS} | other
+        path = tmp / "told.json"
+        path.write_text(json.dumps(told))
+        self.log = tmp / "log"
+        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge"], stderr=self.log.open("wb"),
+                                        env=os.environ | {"BALANCER_CONFIG": str(path)})
+
+    def __enter__(self) -> Program:
+        until(lambda: self.process.poll() is not None or self.answers())
+        return self
+
+    def answers(self) -> bool:
+        with contextlib.suppress(OSError):
+            return self.client().say("PING") == "PONG"
+        return False
+
+    def __exit__(self, *_: object) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+
+    def client(self) -> Client:
+        return Client(self.address)
+
+    def ask_to_stop(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+
+def until(holds: Callable[[], bool], within: float = 8) -> float:
+    """Waits for something to hold, and says how long that took."""
+    start = time.monotonic()
+    while not holds():
+        assert time.monotonic() - start < within, "does not come to hold"
+        time.sleep(0.005)
+    return time.monotonic() - start
+
+
+__all__ = ["MS", "SECOND", "START", "TICK", "Backend", "Case", "Ledger", "Program", "facts", "fleet",
+           "http", "listed", "reset", "until"]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from itertools import pairwise
 
-from ledger import MS, SECOND, START, fleet, listed
+from helpers import MS, SECOND, START, fleet, listed
 from pytest import approx
 
 from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,215 @@
+"""The program on sockets, started and spoken to as its users do."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+from helpers import Backend, Program, http, reset, until
+
+
+def test_a_tunnel_from_its_first_line_to_its_end(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Program(tmp_path, [backend]) as relay:
+        client = relay.client()
+        assert client.open("some/key", "c=feed,d=1500,g=g1,again=1") == "UP r"
+        start, d, rest = backend.heads[0].replace(",", " ", 1).partition("d=")
+        assert start == "OPEN 9b1f03aa5c7e2d41 some/key c=feed " and d
+        assert 0 < int(rest.split(",")[0]) < 1500 and rest.endswith(",g=g1,again=1")
+        assert client.say("M 1") == "M 1"
+        backend.opened[0].sendall(b"LOAD 12.5\r\nBYE\r\n")
+        backend.opened[0].shutdown(1)
+        assert [client.hear() for _ in range(3)] == ["LOAD 12.5", "BYE", ""]
+
+
+def test_a_backend_that_says_busy_or_resets_leaves_the_tunnel_to_another(tmp_path: Path) -> None:
+    for mode in ("BUSY", "reset", "hang", "ERR"):
+        first, second = Backend("a", mode, "UP r"), Backend("b", mode, "UP r")
+        first.modes = second.modes  # whichever comes second takes it
+        with Program(tmp_path, [first, second]) as relay:
+            assert relay.client().open() == "UP r"
+            assert len(first.heads) == len(second.heads) == 1
+
+
+def test_once_only_is_not_set_up_again_where_it_may_have_run(tmp_path: Path) -> None:
+    backends = [Backend("a", "ERR"), Backend("b", "ERR")]
+    with Program(tmp_path, backends) as relay:
+        assert relay.client().open(names="c=bill,d=1500") == "ERR"
+        assert sum(len(backend.heads) for backend in backends) == 1
+
+
+def test_a_tunnel_nobody_takes_is_answered_before_the_client_gives_up(tmp_path: Path) -> None:
+    backends = [Backend(name, "hang") for name in "ab"]
+    with Program(tmp_path, backends) as relay:
+        client, start = relay.client(), time.monotonic()
+        assert client.open(names="c=feed,d=700") == "ERR" or client.hear() == ""
+        assert time.monotonic() - start < 0.7
+
+
+def test_a_connection_that_was_open_before_goes_to_its_backend_and_no_other(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b", "BUSY", "UP r")]
+    with Program(tmp_path, backends) as relay:
+        assert relay.client().open("k", "c=feed,d=4294967,at=b") == "UP r"
+        assert not backends[0].heads
+        assert backends[1].heads == ["OPEN 9b1f03aa5c7e2d41 k c=feed,d=4294967,at=b"] * 2
+
+
+def test_either_end_of_an_open_tunnel_ends_the_other_in_the_same_way(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Program(tmp_path, [backend]) as relay:
+        clients = [relay.client() for _ in range(4)]
+        assert all(client.open() == "UP r" for client in clients)
+        start = time.monotonic()
+        backend.opened[0].shutdown(1)
+        assert [clients[0].hear(), clients[1].say("RESET")] == ["", "reset"]
+        backend.ends.clear()
+        clients[2].file.close()
+        clients[2].link.close()
+        until(lambda: backend.ends == ["ended"])
+        reset(clients[3].link, clients[3].file)
+        until(lambda: backend.ends == ["ended", "reset"])
+        assert time.monotonic() - start < 1
+
+
+def test_a_silent_connection_is_moved(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Program(tmp_path, [backend]) as relay:
+        client = relay.client()
+        assert client.open() == "UP r"
+        backend.deaf = True
+        start = time.monotonic()
+        assert client.say("M 1") == "MOVE" and client.hear() == ""
+        assert time.monotonic() - start < 5
+        until(lambda: "ended" in backend.ends)
+
+
+def test_a_drain_is_applied_at_once_and_its_clients_are_moved_one_by_one(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends) as relay:
+        clients = [relay.client() for _ in range(12)]
+        assert all(client.open(str(number)) == "UP r" for number, client in enumerate(clients))
+        held = len(backends[0].opened)
+        assert 0 < held < 12
+        relay.discovery.tell(backends[0].entry("draining"))
+        until(lambda: len(relay.discovery.calls) > 1)
+        assert all(relay.client().open(f"new {number}".replace(" ", "")) == "UP r" for number in range(6))
+        assert len(backends[0].heads) == held
+        moved = []
+        for client in clients:
+            client.link.settimeout(0.2)
+        start = time.monotonic()
+        while len(moved) < held and time.monotonic() - start < 6:
+            for client in [client for client in clients if client not in moved]:
+                try:
+                    line = client.link.recv(100)
+                except TimeoutError:
+                    continue
+                assert line == b"MOVE\r\n"
+                moved.append(client)
+        assert len(moved) == held and time.monotonic() - start > 0.5
+
+
+def test_the_watch_goes_on_from_what_is_known_and_survives_a_broken_service(tmp_path: Path) -> None:
+    backend, late = Backend("a"), Backend("b")
+    broken = (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", b"no http\r\n\r\n", http(b"{}}"),
+              http(b'{"revision":99,"complete":true,"members":[{"id":"a"}]}'))
+    with Program(tmp_path, [backend]) as relay:
+        discovery = relay.discovery
+        until(lambda: len(discovery.calls) == 1)
+        assert "since=7&" in discovery.calls[0][1]
+        discovery.tell(late.entry())
+        until(lambda: len(discovery.calls) == 2)
+        assert "since=8&" in discovery.calls[1][1]
+        assert discovery.calls[1][0] - discovery.answered[0] < 0.2
+        for number, answer in enumerate(broken):
+            discovery.broken = answer
+            discovery.tell()
+            until(lambda number=number: len(discovery.calls) >= 4 + number)
+        discovery.broken = None
+        backend.modes = ["hang"]
+        discovery.tell(backend.entry("removed"))
+        until(lambda: f"since={discovery.revision}&" in discovery.calls[-1][1])
+        assert relay.client().open() == "UP r" and late.heads and not backend.heads
+
+
+def test_bad_input_is_answered_closed_and_survived(tmp_path: Path) -> None:
+    backends = [Backend(name) for name in "abcdef"]
+    with Program(tmp_path, backends) as relay:
+        for line in (b"OPEN 1 k c=none,d=9\r\n", b"OPEN 1 k c=feed\r\n", b"OPEN 1 k d=9\r\n", b"OPEN 1\r\n",
+                     b"\r\n", b"OPEN 1 k c=feed,d=9,h=nan\r\n", b"\xff\xfe\r\n", b"x" * 5000,
+                     b"GET / HTTP/1.1\r\n\r\n"):
+            client = relay.client()
+            client.link.sendall(line)
+            assert client.hear() == "ERR" and client.hear() == ""
+        half = relay.client()
+        half.link.sendall(b"OPEN 1 k c=fe")
+        half.link.shutdown(1)
+        assert half.hear() == ""
+        for words, passed in ((b"y" * 5000, "MOVE"), (b"LOAD much\r\n", "LOAD much"), (b"\x00\r\n", "\x00")):
+            client, held = relay.client(), [len(backend.opened) for backend in backends]
+            assert client.open() == "UP r"
+            for backend, before in zip(backends, held, strict=True):
+                for link in backend.opened[before:]:
+                    link.sendall(words)
+            assert client.hear() == passed
+        modes = ["WHAT", "UP r"]
+        for backend in backends:
+            backend.modes = modes
+        assert relay.client().open() == "UP r"
+
+
+def test_sigterm_moves_what_is_open_answers_newcomers_and_ends(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b", "hang")]
+    with Program(tmp_path, backends) as relay:
+        clients = [relay.client() for _ in range(10)]
+        assert all(client.open(str(number)) == "UP r" for number, client in enumerate(clients))
+        relay.ask_to_stop()
+        time.sleep(0.2)
+        assert relay.client().open("late") == "UP r"
+        assert [client.hear() for client in clients] == ["MOVE"] * 10
+        until(lambda: relay.process.poll() is not None, 3)
+        assert relay.process.returncode == 0
+
+
+def test_slots_run_out_without_harm_and_come_back(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Program(tmp_path, [backend], limits={"cores": 1, "memory_mb": 192, "sockets": 200}) as relay:
+        for _ in range(2):
+            clients = [relay.client() for _ in range(90)]
+            answers = [client.open(str(number)) for number, client in enumerate(clients)]
+            assert 40 < answers.count("UP r") < 90 and set(answers) == {"UP r", "BUSY"}
+            for client in clients:
+                client.file.close()
+                client.link.close()
+            time.sleep(0.3)
+        assert relay.client().open() == "UP r"
+
+
+def test_a_slow_reader_is_not_read_ahead_for(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Program(tmp_path, [backend]) as relay:
+        client = relay.client()
+        assert client.open() == "UP r"
+        backend.opened[0].settimeout(1)
+        sent = 0
+        try:
+            while sent < 64 << 20:
+                sent += backend.opened[0].send(b"z" * 998 + b"\r\n")
+        except TimeoutError:
+            pass
+        assert sent < 64 << 20
+        pages = int(Path(f"/proc/{relay.process.pid}/statm").read_text().split()[1])
+        assert pages * 4096 < 80 << 20
+
+
+def test_a_bad_configuration_is_one_plain_line(tmp_path: Path) -> None:
+    path = tmp_path / "told.json"
+    good = ('{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
+            '"limits":{"sockets":900},"known":{"revision":0,"members":[]},"settings":{}}')
+    for text in ("", "{}", "[]", good, good.replace('"127.0.0.1:9"', '"nowhere"', 1)):
+        path.write_text(text)
+        run = subprocess.run([sys.executable, "-m", "cedarledge"], env={"BALANCER_CONFIG": str(path)},
+                             capture_output=True, timeout=20, check=False, text=True)
+        assert run.returncode == 2 and run.stderr.startswith("cedarledge: ") and run.stderr.count("\n") == 1
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import hypothesis.strategies as st
+from helpers import MS, SECOND, Ledger, facts, fleet, listed
 from hypothesis import HealthCheck, given, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from ledger import MS, SECOND, Ledger, facts, fleet, listed
 
 from cedarledge.terms import ListForm, Outcome, Standing
 
