A probe that takes unusually long, twice, scales the load of its older report

Seen: on fleet-2 (a backend 8.6 times slower from second 6.1) the probe of second 6.4 took 21 ms in place of 6, with a report of load 0.46 from before; the first report that told of the trouble came at 7.7, the first move at 7.9. Ruled out: late probes (each went at its tick) and lost ones. Wrong: net/backends.py believed the report and threw the probe's own time away. net/paces.py now keeps each backend's usual time; a probe far over it is sent once more after 250 ms, since a short pause looks the same, and then scales the report. A fleet that is slow everywhere scales none.

Tests for each part of the relay alone; an echo exactly at the limit counts as slow: found by one of them.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -15,13 +15,17 @@
 from cedarledge.net.config import Address
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
+from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError
-from cedarledge.terms import LoadReport, Outcome
+from cedarledge.terms import MS, LoadReport, Outcome
 from cedarledge.words import ReportReader
 
 # First words of the lines that end a setup or an open tunnel.
 LAST_WORDS = {b"BYE": Outcome.DONE, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL}
 
+# How soon a probe that took unusually long is sent once more.
+ASK_AGAIN = 250 * MS
+
 
 class Watcher(Protocol):
     """Where the backends' side tells what comes of setups and probes."""
@@ -179,7 +183,8 @@
         super().__init__(backends.means, address)
         self.backends = backends
         self.ep = ep
-        self.out = False
+        self.out = self.again = False
+        self.asked_at = 0
 
     def ask(self) -> None:
         if self.out:
@@ -195,6 +200,7 @@
         self._write()
 
     def _write(self) -> None:
+        self.asked_at = self.means.clock()
         self.due_in(self.backends.probe_within, self._too_late)
         self.send_line(self.backends.probe_word)
 
@@ -207,10 +213,19 @@
         if len(lines) > 1 or not self.out:
             self.bad_input("more answers than probes")
             return
-        self.out = False
+        report = (read_report(rest, self.backends.reader) if rest else None) or LoadReport()
+        slower = self.backends.paces.slower(self.ep, self.means.clock() - self.asked_at)
+        if slower > 1 and not self.again:
+            # A short pause of the backend looks the same, and is over by then.
+            self.again = True
+            self.due_in(ASK_AGAIN, self._write)
+            return
+        self.out = self.again = False
         self.due_in(self.backends.idle_within, self._idle)
-        report = read_report(rest, self.backends.reader) if rest else None
-        self.backends.watcher.probe_over(self.ep, word == b"PONG", report or LoadReport())
+        if slower > 1 and report.asked is not None:
+            # The report is older than what the probe itself has met.
+            report = report._replace(asked=report.asked * slower)
+        self.backends.watcher.probe_over(self.ep, word == b"PONG", report)
 
     def _idle(self) -> None:
         self.backends.forget(self)
@@ -219,18 +234,19 @@
     def peer_ended(self, abrupt: bool) -> None:
         self.backends.forget(self)
         if self.out:
-            self.out = False
+            self.out = self.again = False
             self.backends.watcher.probe_over(self.ep, False, LoadReport())
 
 
 class Backends:
     """Opens setups and probes, and knows the probe connections that are kept."""
 
-    def __init__(self, means: Means, watcher: Watcher, reader: ReportReader, connect_within: int,
-                 probe_within: int, idle_within: int, probe_word: bytes) -> None:
+    def __init__(self, means: Means, watcher: Watcher, reader: ReportReader, paces: Paces,
+                 connect_within: int, probe_within: int, idle_within: int, probe_word: bytes) -> None:
         self.means = means
         self.watcher = watcher
         self.reader = reader
+        self.paces = paces
         self.connect_within = connect_within
         self.probe_within = probe_within
         self.idle_within = idle_within
--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -30,7 +30,7 @@
         if not self.slow:
             return
         now = self.clock()
-        if delay > self.slow:
+        if delay >= self.slow:
             if now - self._slow_since.get(ep, 0) >= TELL_EVERY:
                 self._slow_since[ep] = now
                 self.tell_delay(ep, delay)
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -23,6 +23,7 @@
 from cedarledge.net.echoes import Echo, Echoes
 from cedarledge.net.lines import BUFFER_SIZE, figure
 from cedarledge.net.links import Means
+from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError, Slots
 from cedarledge.terms import MS, SECOND, Listed, ListForm, LoadReport, Outcome, Standing
 from cedarledge.words import US, Indices, ReportReader, mark_of, site_facts
@@ -84,8 +85,10 @@
             self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
                                   self.facts.ask_every, self.list_told, self.list_lost)
             goals = [row.setup_goal for row in self.facts.profiles]
+            tightest = min((row.message_goal for row in self.facts.profiles if row.message_goal), default=0)
             self.backends = Backends(
-                self.means, self, ReportReader(settings), self.connect_within,
+                self.means, self, ReportReader(settings), Paces((tightest or min(goals)) // 5),
+                self.connect_within,
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
                 probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
                 probe_word=b"PING" if settings["load_report"]["how"] == "off" else b"STATS")
@@ -94,7 +97,6 @@
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
-        tightest = min((row.message_goal for row in self.facts.profiles if row.message_goal), default=0)
         self.echoes = Echoes(self.clock, self.deadlines, tightest // 3 if tells else 0,
                              self.delay_told, self.silent)
         self.listener = Listener(self.means, self)
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,232 @@
+"""The parts of the relay on sockets, each alone."""
+
+from __future__ import annotations
+
+import json
+from contextlib import suppress
+from heapq import heappop, heappush
+from itertools import pairwise
+
+import hypothesis.strategies as st
+from helpers import MS, SECOND, http
+from hypothesis import given, settings
+from pytest import raises
+from twisted.internet.task import Clock
+
+from cedarledge.net.buffers import NoBufferError, Pool
+from cedarledge.net.clients import MalformedError, read_opening
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.discovery import HttpError, HttpReader
+from cedarledge.net.echoes import SILENT, Echo, Echoes
+from cedarledge.net.lines import BUFFER_SIZE, LONGEST, Lines, OverlongError
+from cedarledge.net.paces import Paces
+from cedarledge.net.slots import FullError, Slots
+
+often = settings(derandomize=True, deadline=None, max_examples=200)
+
+
+def cut(data: bytes, places: list[int]) -> list[bytes]:
+    edges = sorted({place % (len(data) + 1) for place in places} | {0, len(data)})
+    return [data[start:end] for start, end in pairwise(edges)]
+
+
+PLACES = st.lists(st.integers(0, 10_000), max_size=12)
+
+
+@given(lines=st.lists(st.binary(max_size=60).filter(lambda line: b"\r" not in line and b"\n" not in line)),
+       rest=st.binary(max_size=20).filter(lambda rest: b"\r" not in rest), places=PLACES)
+@often
+def test_lines_come_out_whole_however_they_are_cut(
+        lines: list[bytes], rest: bytes, places: list[int]) -> None:
+    pool = Pool(BUFFER_SIZE, 1)
+    reader = Lines(pool)
+    data = b"".join(line + b"\r\n" for line in lines) + rest
+    assert [line for part in cut(data, places) for line in reader.feed(part)] == lines
+    reader.close()
+    assert pool.take() is not None, "the buffer was given back"
+
+
+def test_a_line_of_the_longest_length_passes_and_one_more_does_not() -> None:
+    for size in (1, 1000, LONGEST + 1):
+        reader = Lines(Pool(BUFFER_SIZE, 1))
+        data = b"x" * LONGEST + b"\r\n"
+        got = [line for start in range(0, len(data), size) for line in reader.feed(data[start:start + size])]
+        assert got == [b"x" * LONGEST]
+        with raises(OverlongError):
+            reader.feed(b"x" * (LONGEST + 1) + b"\r\n")
+        with raises(OverlongError):
+            reader.feed(b"x" * (LONGEST + 2))
+
+
+def test_buffers_run_out_and_are_used_again() -> None:
+    pool = Pool(8, 2)
+    first, second = pool.take(), pool.take()
+    with raises(NoBufferError):
+        pool.take()
+    pool.give_back(second)
+    assert pool.take() is second and first is not second
+
+
+@given(steps=st.lists(st.integers(-3, 4), max_size=60))
+@often
+def test_a_late_handle_never_reaches_a_slots_next_holder(steps: list[int]) -> None:
+    slots: Slots[str] = Slots(3)
+    held: dict[int, str] = {}
+    past: list[int] = []
+    for number, step in enumerate(steps):
+        if step >= 0 and len(held) < 3:
+            handle = slots.take(f"holder {number}")
+            assert handle not in held and handle not in past
+            held[handle] = f"holder {number}"
+        elif held and step < 0:
+            handle = sorted(held)[step % len(held)]
+            del held[handle]
+            slots.give_back(handle)
+            past.append(handle)
+        assert slots.used == len(held) and sorted(slots.handles()) == sorted(held)
+        assert all(slots.get(handle) == holder for handle, holder in held.items())
+        assert not any(slots.get(handle) for handle in past)
+    for handle in past:
+        with raises(KeyError):
+            slots.give_back(handle)
+    if len(held) == 3:
+        with raises(FullError):
+            slots.take("one more")
+
+
+@given(plan=st.lists(st.tuples(st.integers(0, 50), st.booleans(), st.integers(0, 9)), max_size=150))
+@often
+def test_deadlines_come_in_order_at_their_time_unless_cancelled(
+        plan: list[tuple[int, bool, int]]) -> None:
+    clock = Clock()
+    deadlines = Deadlines(clock, lambda: int(clock.seconds()) * SECOND)
+    due: list[tuple[int, int]] = []
+    got: list[tuple[int, int]] = []
+    for number, (delay, cancelled, pause) in enumerate(plan):
+        at = int(clock.seconds()) + delay
+        deadline = deadlines.after(delay * SECOND, lambda at=at, number=number: got.append((at, number)))
+        if cancelled:
+            deadlines.cancel(deadline)
+            deadlines.cancel(deadline)
+        else:
+            heappush(due, (at, number))
+        clock.advance(pause)
+        while due and due[0][0] <= clock.seconds():
+            assert got.pop(0) == heappop(due)
+        assert not got
+        assert len(clock.getDelayedCalls()) <= 1, "one reactor call for all"
+    clock.advance(100)
+    assert got == sorted(due)
+
+
+def test_a_deadline_that_fails_takes_no_other_with_it() -> None:
+    clock, got = Clock(), []
+    deadlines = Deadlines(clock, lambda: round(clock.seconds() * SECOND))
+    deadlines.after(SECOND, lambda: 1 // 0)
+    deadlines.after(SECOND, got.append, "next")
+    clock.advance(1)
+    assert got == ["next"]
+
+
+CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+           b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n")
+
+
+@given(bodies=st.lists(st.binary(max_size=40), max_size=3), places=PLACES)
+@often
+def test_answers_are_read_however_they_are_cut(bodies: list[bytes], places: list[int]) -> None:
+    reader, got = HttpReader(), []
+    for answer, body in ((CHUNKED, b"abcdefg"), *((http(body), body) for body in bodies)):
+        for part in cut(answer, places):
+            answered = reader.feed(part)
+            if answered is not None:
+                got.append((answered.status, answered.body == body))
+    assert got == [(200, True)] * (1 + len(bodies))
+
+
+def test_an_answer_without_length_ends_with_its_connection() -> None:
+    reader = HttpReader()
+    assert reader.feed(b"HTTP/1.0 200 OK\r\n\r\nab") is None and reader.feed(b"c") is None
+    assert reader.end().body == b"abc"
+    assert HttpReader().end() is None
+
+
+@given(noise=st.binary(min_size=1, max_size=80),
+       start=st.sampled_from([b"", b"HTTP/1.1 200", http(b"")[:-2]]))
+@often
+def test_what_is_no_answer_raises_nothing_else(noise: bytes, start: bytes) -> None:
+    with suppress(HttpError):
+        HttpReader().feed(start + noise + b"\r\n\r\n")
+
+
+def test_answers_past_all_measure_are_not_read_on() -> None:
+    head, chunks, _ = CHUNKED.partition(b"4\r\n")
+    for data in (b"x" * 20_000, b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                 head + b"fffffffff\r\n", head + chunks + b"abcdef\r\n",
+                 b"HTTP/1.1 200 OK\r\nnothing\r\n\r\n"):
+        with raises(HttpError):
+            HttpReader().feed(data)
+
+
+@given(line=st.one_of(st.binary(max_size=60), st.builds(
+    lambda names, key: f"OPEN 1 {key} {','.join(names)}".encode(), st.lists(st.sampled_from(
+        ["c=feed", "d=40", "d=x", "d=-1", "h=inf", "h=2.5", "r=1", "again=1", "at=b", "g=", "=", ""])),
+    st.sampled_from(["k", "", "a/b", "\u00e9"]))))
+@often
+def test_an_opening_is_read_or_malformed(line: bytes) -> None:
+    try:
+        opening = read_opening(line)
+    except MalformedError:
+        return
+    assert opening.profile and opening.key and (opening.wait > 0 or opening.at)
+    head = opening.head(7 * MS)
+    assert head == line if opening.at else head.replace(b"d=7", b"d=40", 1) == line
+
+
+def test_a_heads_wait_is_changed_and_nothing_else() -> None:
+    line = b"OPEN 1 d=5,d=6 c=feed,dd=1,d=2000,g=d=9,x=1"
+    assert read_opening(line).head(80 * MS) == b"OPEN 1 d=5,d=6 c=feed,dd=1,d=80,g=d=9,x=1"
+
+
+def test_slow_lines_are_told_once_a_second_then_their_end_and_silence_in_time() -> None:
+    clock, told, silent = Clock(), [], []
+    step = SECOND // 128  # a whole number of ns, and exact in the clock's floats
+
+    def now() -> int:
+        return int(clock.seconds() * SECOND)
+
+    echoes = Echoes(now, Deadlines(clock, now), 3 * step, lambda ep, delay: told.append((ep, delay)),
+                    silent.append)
+    clock.advance(10)
+    echo = Echo(echoes, 5, 3)
+    for steps, news in ((2, []), (200, [3 * step, 3 * step + SECOND]), (2, [2 * step])):
+        echo.asked()
+        for _ in range(steps):
+            clock.advance(1 / 128)
+        echo.answered()
+        assert told == [(3, delay) for delay in news] and not silent
+        told.clear()
+    echo.asked()
+    for _ in range(5 * 128):
+        clock.advance(1 / 128)
+        assert bool(silent) == (clock.seconds() - 10 - 204 / 128 >= SILENT / SECOND)
+    assert silent == [5]
+
+
+def test_a_backend_is_slower_than_its_usual_and_than_the_others() -> None:
+    paces = Paces(10 * MS)
+    for ep in range(5):
+        assert paces.slower(ep, (2 + ep) * MS) == 1.0
+    assert paces.slower(1, 12 * MS) == 1.0  # within what tells nothing
+    assert 3.5 < paces.slower(1, 13 * MS + MS) < 5
+    for ep in (0, 2, 3, 4):
+        paces.slower(ep, 40 * MS)
+    assert paces.slower(1, 45 * MS) < 2  # a full fleet is slow everywhere
+
+
+def test_settings_of_the_program_are_what_the_pages_show() -> None:
+    line = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59"
+    opening = read_opening(line)
+    assert (opening.profile, opening.key, opening.wait, opening.group, opening.at) == (
+        "chat", "7f3a9c21e0b4d655", 2 * SECOND, "5c0f6e1a2b3d4c59", None)
+    assert json.loads(http(b"[]").partition(b"\r\n\r\n")[2]) == []
