An unanswered line is told to the module each time its age has doubled

The first notice came at 17 ms, under what the module acts on, the next a second later. Ruled out: the module, which moves at the next tick once a delay is past the tightest message goal. Wrong: the fixed second in net/echoes.py.

--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -23,18 +23,20 @@
         self.slow = slow  # 0: delays are not told
         self.tell_delay = tell_delay
         self.tell_silent = tell_silent
-        self._slow_since: dict[int, int] = {}  # backends last told of as slow, and when
+        self._told: dict[int, tuple[int, int]] = {}  # backends last told of as slow: when, and how slow
 
     def took(self, ep: int, delay: int) -> None:
-        """Tells of a slow message, once a second for a backend, and of the first that is quick again."""
+        """Tells of a slow message, once a second for a backend and whenever that is twice as slow as told
+        before, and of the first that is quick again."""
         if not self.slow:
             return
         now = self.clock()
         if delay >= self.slow:
-            if now - self._slow_since.get(ep, 0) >= TELL_EVERY:
-                self._slow_since[ep] = now
+            at, before = self._told.get(ep, (0, 0))
+            if now - at >= TELL_EVERY or delay >= 2 * before:
+                self._told[ep] = now, delay
                 self.tell_delay(ep, delay)
-        elif self._slow_since.pop(ep, None) is not None:
+        elif self._told.pop(ep, None) is not None:
             self.tell_delay(ep, delay)
 
 
@@ -66,7 +68,8 @@
         if age >= SILENT:
             self._echoes.tell_silent(self._tun)
             return
-        self._due = self._echoes.deadlines.after(min(TELL_EVERY, SILENT - age), self._overdue)
+        # A hang is told while it grows: a second later its clients have lost that second.
+        self._due = self._echoes.deadlines.after(min(age, TELL_EVERY, SILENT - age), self._overdue)
         self._echoes.took(self._ep, age)
 
     def close(self) -> None:
