--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -35,7 +35,7 @@
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
 # Where only probes tell of slow backends, those that hold this relay's clients are seen this often.
-SEEN_WITHIN = 1250 * MS
+SEEN_WITHIN = 4 * SECOND
 SKIP_FACTOR = 1.5
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
 # the same list would all fill the one member that it puts a hair ahead.
