--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -34,8 +34,6 @@
 PROBE_EVERY, PROBE_SELDOM, LOG_EVERY = SECOND, 4 * SECOND, 10 * SECOND
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
-# Where only probes tell of slow backends, those that hold this relay's clients are seen this often.
-SEEN_WITHIN = 4 * SECOND
 SKIP_FACTOR = 1.5
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
 # the same list would all fill the one member that it puts a hair ahead.
@@ -770,7 +768,7 @@
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
         if not self.facts.delays_told:
             # Only a probe tells that a backend has turned slow, and open tunnels wait for it, not new ones.
-            return min(max(TICK, SEEN_WITHIN // max(1, len(self.holding))), PROBE_EVERY)
+            return PROBE_EVERY
         probes = PROBES_A_TUNNEL * self._arrivals_a_second(now)
         return int(min(max(PROBE_EVERY, SECOND / max(probes, 0.1)), PROBE_SELDOM))
 
