--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -41,6 +41,15 @@
 LONGEST_STOP, NEWCOMERS_FOR, STOP_LOOK = 3 * SECOND, SECOND, 100 * MS
 
 
+def _may_hold(sockets: int) -> int:
+    """How many descriptors the process may hold: as many as it was told, if the system lets it."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft < sockets <= hard:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (sockets, hard))
+        soft = sockets
+    return min(sockets, soft)
+
+
 class Tunnel:
     """A client's request and what it holds; its slot is given back in Relay._free."""
 
@@ -61,7 +70,7 @@
         settings = orders.settings
         self.clock = steady_clock()
         self.deadlines = Deadlines(reactor, self.clock)
-        files = min(orders.sockets, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+        files = _may_hold(orders.sockets)
         most = files - OWN_FILES
         if most < 2 * SPARE_LINKS:
             raise BadConfigError(f"{files} descriptors are too few")
@@ -102,6 +111,8 @@
         self.listener = Listener(self.means, self)
         self.balancer = Balancer(self, self.facts)
         self._list_changed(ListForm.RESTORED, known)
+        # Where the module is told of changes unasked, it leaves the asking to its host.
+        self.watching.start()
 
     def _tell(self, method: Callable[..., None], *args: Any) -> bool:
         """Calls the module. A fault there costs one event, not the connections that this relay holds."""
@@ -358,7 +369,8 @@
     # -- the list and probes ---------------------------------------------------------------------
 
     def _listed(self, entry: dict[str, Any]) -> Listed:
-        standing = PHASES[entry["phase"]]
+        # What the page does not name gets nothing new, as a draining one; the rest of the list still counts.
+        standing = PHASES.get(entry["phase"], Standing.DRAINING)
         ep = self.eps[entry["id"]]
         if standing is not Standing.GONE:
             self.addresses[ep] = address_of(entry["host_port"])
