Lines that come back at once no longer unsay a delay that a report has told

Wrong: one memory for two sources in net/echoes.py; lines come back at once from a slow backend, so they may only unsay what lines have said.

--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -20,7 +20,7 @@
 from cedarledge.net.config import Address, BadConfigError, StartingOrders, address_of
 from cedarledge.net.deadlines import Deadlines, steady_clock
 from cedarledge.net.discovery import Watch
-from cedarledge.net.echoes import Echo, Echoes
+from cedarledge.net.echoes import Delays, Echo, Echoes
 from cedarledge.net.lines import BUFFER_SIZE, figure
 from cedarledge.net.links import Means
 from cedarledge.net.paces import Paces
@@ -106,8 +106,9 @@
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
-        self.echoes = Echoes(self.clock, self.deadlines, tightest // 3 if tells else 0,
-                             self.delay_told, self.silent)
+        slow = tightest // 3 if tells else 0
+        self.reported, in_lines = (Delays(self.clock, slow, self.delay_told) for _ in range(2))
+        self.echoes = Echoes(self.clock, self.deadlines, in_lines, self.silent)
         self.listener = Listener(self.means, self)
         self.balancer = Balancer(self, self.facts)
         self._list_changed(ListForm.RESTORED, known)
@@ -403,7 +404,7 @@
         logger.debug("probe of {}: {}, {}", self.eps.names[ep], answered, report)
         if report.service_time is not None:
             # The clients' lines don't tell how long messages take; what a backend says of itself does.
-            self.echoes.took(ep, int(report.service_time))
+            self.reported.took(ep, int(report.service_time))
         self._tell(self.balancer.probed, ep, answered, report)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -17,7 +17,7 @@
 from cedarledge.net.clients import MalformedError, read_opening
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.discovery import HttpError, HttpReader
-from cedarledge.net.echoes import SILENT, Echo, Echoes
+from cedarledge.net.echoes import SILENT, Delays, Echo, Echoes
 from cedarledge.net.lines import BUFFER_SIZE, LONGEST, Lines, OverlongError
 from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError, Slots
@@ -195,10 +195,18 @@
     def now() -> int:
         return int(clock.seconds() * SECOND)
 
-    echoes = Echoes(now, Deadlines(clock, now), 3 * step, lambda ep, delay: told.append((ep, delay)),
-                    silent.append)
+    def tell(ep: int, delay: int) -> None:
+        told.append((ep, delay))
+
+    reported = Delays(now, 3 * step, tell)
+    echoes = Echoes(now, Deadlines(clock, now), Delays(now, 3 * step, tell), silent.append)
     clock.advance(10)
     echo = Echo(echoes, 5, 3)
+    reported.took(3, SECOND)
+    echo.asked()
+    echo.answered()
+    assert told == [(3, SECOND)], "a quick line does not unsay what a report has said"
+    told.clear()
     grown = [3 * step << times for times in range(7)]
     for steps, news in ((2, []), (200, grown), (2, [2 * step])):
         echo.asked()
