--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -746,9 +746,7 @@
         if now >= self.next_probe:
             self.next_probe = now + every
             # The longest unseen first is the turn, and meets new members soon.
-            self._ask(now, self._unseen_longest() if self.facts.delays_told else max(
-                (member for cell in self.cells.values() for member in cell),
-                key=lambda member: (now - member.probe_at) * (1 + member.open)))
+            self._ask(now, self._unseen_longest())
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in self.holding.values()
