One way to turn out a peer, one tightest goal, one look-up of a tunnel's profile

From reading the whole change again; no behaviour is meant to change. Links end what the peer has ended in one place and turn out a peer that breaks the protocol in one place, with the log's word for it; the tightest message goal is a property of SiteFacts, which the module and the relay both worked out; a tunnel keeps its profile and tenant; states that no tunnel could be in are gone from setup_over and _answered; two tests share the ending of moved tunnels.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -196,7 +196,7 @@
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
-        self.tightest = min((row.message_goal for row in rows if row.message_goal), default=0)
+        self.tightest = facts.tightest
         if facts.must_ask:
             host.watch()
         host.wake(int(TICK * (0.5 + 0.5 * self.chance())), TICK_TOKEN)
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from loguru import logger
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
 from twisted.internet.interfaces import IPullProducer
@@ -51,6 +50,8 @@
 class BackendLink(Link):
     """A connection that this relay opens. Whatever is opened ends in Link._gone."""
 
+    peer = "backend"
+
     def __init__(self, means: Means, address: Address) -> None:
         super().__init__(means)
         self.address = address
@@ -67,9 +68,7 @@
             self._connecting.cancel()
 
     def _not_up(self, _why: Failure) -> None:
-        if not self.ending:
-            self.ending = True
-            self.peer_ended(abrupt=True)
+        self._ended_by_peer(abrupt=True)
         self._gone()
 
     def abort(self) -> None:
@@ -146,13 +145,12 @@
             return None
         return outcome, read_report(rest, self.backends.reader) if rest else None
 
-    def bad_input(self, why: str) -> None:
+    def turn_out(self) -> None:
         if self.opened:
             # The backend still answers, so its client may not be cut off.
-            logger.warning("backend: {}", why)
             self.backends.watcher.garbled(self.tun)
         else:
-            super().bad_input(why)
+            super().turn_out()
 
     def peer_ended(self, abrupt: bool) -> None:
         if self.opened:
@@ -201,13 +199,9 @@
 
     def _write(self) -> None:
         self.asked_at = self.means.clock()
-        self.due_in(self.backends.probe_within, self._too_late)
+        self.due_in(self.backends.probe_within, self.turn_out)
         self.send_line(self.backends.probe_word)
 
-    def _too_late(self) -> None:
-        self.abort()
-        self.peer_ended(abrupt=True)
-
     def lines_came(self, lines: list[bytes]) -> None:
         word, _, rest = lines[0].partition(b" ")
         if len(lines) > 1 or not self.out:
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -78,6 +78,8 @@
 class ClientLink(Link):
     """One client's connection: first lines that are no tunnel yet, then the tunnel's client end."""
 
+    peer = "client"
+
     def __init__(self, means: Means, taker: Taker, on_gone: Callable[[], None]) -> None:
         super().__init__(means)
         self.taker = taker
@@ -101,19 +103,16 @@
         try:
             opening = read_opening(line)
         except MalformedError as why:
-            logger.warning("client: {}: {!r}", why, line[:80])
-            self.fail()
+            self.bad_input(f"{why}: {line[:80]!r}")
             return
         self.nothing_due()
         self.tun = self.taker.arrived(self, opening)
 
-    def bad_input(self, why: str) -> None:
-        logger.warning("client: {}", why)
+    def turn_out(self) -> None:
         if self.tun < 0:
             self.fail()
         else:
-            self.taker.client_ended(self.tun, abrupt=True)
-            self.abort()
+            super().turn_out()
 
     def peer_ended(self, abrupt: bool) -> None:
         if self.tun >= 0:
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -82,7 +82,7 @@
 
     def _head(self) -> HttpAnswer | None:
         end = self._data.find(b"\r\n\r\n")
-        if max(end, 0 if end >= 0 else len(self._data)) > LONGEST_HEAD:
+        if (end if end >= 0 else len(self._data)) > LONGEST_HEAD:
             raise HttpError("a head past all measure")
         if end < 0:
             return None
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -37,6 +37,7 @@
     """One connection. It takes its slot when it is made and gives it back in _gone, there alone."""
 
     transport: Any
+    peer = ""  # what the log calls the other side
 
     def __init__(self, means: Means) -> None:
         self.means = means
@@ -57,12 +58,16 @@
         """The peer, or the network, has ended the connection."""
         raise NotImplementedError
 
-    def bad_input(self, why: str) -> None:
-        """The peer does not keep to the protocol."""
-        logger.warning("{}: {}", type(self).__name__, why)
+    def turn_out(self) -> None:
+        """Ends a peer that can't be dealt with."""
         self.abort()
         self.peer_ended(abrupt=True)
 
+    def bad_input(self, why: str) -> None:
+        """The peer does not keep to the protocol."""
+        logger.warning("{}: {}", self.peer, why)
+        self.turn_out()
+
     # -- deadlines -------------------------------------------------------------------------------
 
     def due_in(self, delay: int, call: Callable[[], None]) -> None:
@@ -125,9 +130,7 @@
             self.lines_came(lines)
 
     def readConnectionLost(self) -> None:  # noqa: N802
-        if not self.ending:
-            self.ending = True
-            self.peer_ended(abrupt=False)
+        self._ended_by_peer(abrupt=False)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
         self.due_in(LINGER, self.abort)
@@ -136,10 +139,13 @@
         """Closed by finish; the other half follows."""
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self._ended_by_peer(abrupt=reason.check(ConnectionDone) is None)
+        self._gone()
+
+    def _ended_by_peer(self, abrupt: bool) -> None:
         if not self.ending:
             self.ending = True
-            self.peer_ended(abrupt=reason.check(ConnectionDone) is None)
-        self._gone()
+            self.peer_ended(abrupt)
 
     def _gone(self) -> None:
         self.up = False
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -52,11 +52,14 @@
 class Tunnel:
     """A client's request and what it holds; its slot is given back in Relay._free."""
 
-    __slots__ = ("began", "client", "echo", "known", "opening", "over", "setup", "up")
+    __slots__ = ("began", "client", "echo", "known", "opening", "over", "profile", "setup", "tenant", "up")
 
-    def __init__(self, client: ClientLink, opening: Opening, began: int) -> None:
+    def __init__(self, client: ClientLink, opening: Opening, profile: int, tenant: int | None,
+                 began: int) -> None:
         self.client = client
         self.opening = opening
+        self.profile = profile
+        self.tenant = tenant
         self.began = began
         self.setup: SetupLink | None = None
         self.echo: Echo | None = None
@@ -93,9 +96,8 @@
             self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
                                   self.facts.ask_every, self.list_told, self.list_lost)
             goals = [row.setup_goal for row in self.facts.profiles]
-            tightest = min((row.message_goal for row in self.facts.profiles if row.message_goal), default=0)
             self.backends = Backends(
-                self.means, self, ReportReader(settings), Paces((tightest or min(goals)) // 5),
+                self.means, self, ReportReader(settings), Paces((self.facts.tightest or min(goals)) // 5),
                 self.connect_within,
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
                 probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
@@ -105,7 +107,7 @@
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
-        slow = tightest // 3 if tells else 0
+        slow = self.facts.tightest // 3 if tells else 0
         self.reported, in_lines = (Delays(self.clock, slow, self.delay_told) for _ in range(2))
         self.echoes = Echoes(self.clock, self.deadlines, in_lines, self.silent)
         self.listener = Listener(self.means, self)
@@ -178,7 +180,7 @@
             logger.warning("client: nothing is called {}", why)
             client.fail()
             return -1
-        tunnel = Tunnel(client, opening, self.clock())
+        tunnel = Tunnel(client, opening, profile, tenant, self.clock())
         try:
             tun = self.tunnels.take(tunnel)
         except FullError:
@@ -223,9 +225,8 @@
             return
         opening = tunnel.opening
         tunnel.known = True
-        self._tell(self.balancer.adopted, tun, self.profiles[opening.profile],
-                   None if opening.tenant is None else self.tenants[opening.tenant], opening.key,
-                   opening.group, setup.ep, opening.hint)
+        self._tell(self.balancer.adopted, tun, tunnel.profile, tunnel.tenant, opening.key, opening.group,
+                   setup.ep, opening.hint)
 
     def lines_on(self, tun: int, lines: list[bytes]) -> None:
         tunnel = self.tunnels.get(tun)
@@ -262,9 +263,8 @@
             return
         logger.debug("tunnel {} at {}: {} after {} ms, up {}", tun, self.eps.names[ep], outcome.name,
                      took // MS, tunnel.up)
-        was_open = tunnel.up and not tunnel.over
-        ended = tunnel.up or tunnel.over
-        self._part(tunnel, over=ended)
+        was_open = tunnel.up
+        self._part(tunnel, over=was_open)
         if was_open:
             if abrupt and outcome is Outcome.RESET:
                 tunnel.client.abort()
@@ -276,9 +276,9 @@
             else:
                 self.close_with_error(tun)
             return
-        if not self._tell(self.balancer.setup_ended, tun, ep, ended, outcome, took, report):
+        if not self._tell(self.balancer.setup_ended, tun, ep, was_open, outcome, took, report):
             self._abandon(tun)
-        if ended:
+        if was_open:
             self._free(tun)
 
     def client_ended(self, tun: int, abrupt: bool) -> None:
@@ -321,11 +321,9 @@
             tunnel.echo.close()
 
     def _answered(self, tun: int) -> None:
-        """The final answer is out; the slot stays until the setup that may still be out has ended."""
-        tunnel = self.tunnels.get(tun)
-        tunnel.over = True
-        if tunnel.setup is None:
-            self._free(tun)
+        """The final answer is out. The module gives it only when no setup is."""
+        self._part(self.tunnels.get(tun))
+        self._free(tun)
 
     def _abandon(self, tun: int) -> None:
         """The module failed on this tunnel: its client still gets an answer."""
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -115,6 +115,11 @@
     quotas: tuple[float, ...]  # open connections within each tenant's share; 0: not told
     over_share_credit: float
 
+    @property
+    def tightest(self) -> int:
+        """The shortest message goal; 0: none is told."""
+        return min((row.message_goal for row in self.profiles if row.message_goal), default=0)
+
 
 class Host(Protocol):
     """What the decision module may have done; every call takes effect at the time of the running event."""
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -181,6 +181,11 @@
             case.answered = True
         self.balancer.setup_ended(self.now, tun, setup[0], case.answered, outcome, self.now - setup[1], None)
 
+    def end_moved(self) -> None:
+        for tun in self.moves:
+            if self.cases[tun].setups[-1][2] is None:
+                self.end(tun, Outcome.CANCELLED)
+
     def report(self, ep: int, asked: float) -> None:
         self.told[ep] = asked
         self.balancer.probed(self.now, ep, True, LoadReport(asked=asked))
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -92,9 +92,7 @@
     held = sum(placed(ledger, tun) == sick for tun in tuns)
     for _ in range(12):
         ledger.run(TICK)
-        for tun in ledger.moves:
-            if ledger.cases[tun].setups[-1][2] is None:
-                ledger.end(tun, Outcome.CANCELLED)
+        ledger.end_moved()
         for ep in range(4):
             ledger.report(ep, 1.5 * ledger.balancer.members[ep].open / held if ep == sick else 0.4)
     assert {placed(ledger, tun) for tun in ledger.moves} == {sick}
@@ -149,9 +147,7 @@
         ledger.open(tun)
     for _ in range(6):
         ledger.run(SECOND)
-        for tun in ledger.moves:
-            if ledger.cases[tun].setups[-1][2] is None:
-                ledger.end(tun, Outcome.CANCELLED)
+        ledger.end_moved()
         for ep in range(4):
             ledger.report(ep, 0.95)
     let_go = Counter(tun in tuns[0] for tun in ledger.moves)
