SIGHUP reads the configuration again and moves the watch at once

The log ends with the last ordinary line, with no traceback and no "stops within". Ruled out: a fault in the module or in a deadline (both log), the memory limit (23 of 80 MB), and Twisted, which sets handlers for INT, TERM and CHLD only. run() in net/relay.py set one for SIGTERM and none for SIGHUP, so the system's default ended the process. Changed: relay.py takes the signal, config.py reads, Watch.move_to goes to the new address: the old call is cancelled and its connection given back without a word to the module, and the whole list is asked for there, since nothing says that revisions go on. A file that can't be used is one logged line. Watch.let_go gives the call back at the end too, where the reactor's end used to log a lost connection. Simulated backends, clients and discovery; real relays and sockets.

--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -1,4 +1,4 @@
-"""What a relay is told at its start, from the file that BALANCER_CONFIG names."""
+"""What a relay is told at its start and on SIGHUP, from the file that BALANCER_CONFIG names."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 
 class BadConfigError(Exception):
-    """The relay can't start with what it was told."""
+    """The relay can't start, or go on, with what it was told."""
 
 
 class StartingOrders(NamedTuple):
@@ -39,7 +39,7 @@
         told = json.loads(Path(path).read_bytes())
     except OSError as why:
         raise BadConfigError(f"{path}: {why.strerror}") from why
-    except ValueError as why:
+    except (ValueError, RecursionError) as why:
         raise BadConfigError(f"{path}: not JSON: {why}") from why
     try:
         return StartingOrders(
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -22,8 +22,9 @@
 # No list comes near these; an answer past them is not read on.
 LONGEST_HEAD, LONGEST_BODY = 16 << 10, 8 << 20
 LONGEST_WAIT = 60 * SECOND
-# How long past its wait a call may take: the answer stands in turn there.
-PATIENCE = SECOND
+# How long past its wait a call may take: the answer stands in turn there. A whole list has no wait, and
+# discovery may keep a call in turn for some seconds before it fails it.
+PATIENCE, WHOLE_WITHIN = SECOND, 4 * SECOND
 
 
 class HttpError(Exception):
@@ -213,7 +214,7 @@
         self._reactor = reactor
         self._deadlines = deadlines
         self._address = address
-        self._revision = revision
+        self._revision: int | None = revision  # None: the whole list is asked for
         self._wait = min(wait or LONGEST_WAIT // 3, LONGEST_WAIT)
         self._told = told
         self._failed = failed
@@ -225,8 +226,25 @@
         if self._call is None:
             self._ask()
 
+    def move_to(self, address: Address) -> None:
+        """Follows the list at another address from now on, and from the whole list on: whether revisions
+        go on there is not known, and a change that neither place tells would be missed for good."""
+        if address != self._address:
+            self.let_go()
+            self._address, self._revision = address, None
+            self._ask()
+
+    def let_go(self) -> None:
+        """Gives back the call and its connection, and tells nobody: the list is not lost."""
+        self._deadlines.cancel(self._due)
+        call, self._call = self._call, None
+        if call is not None:
+            call.cancel()
+        self._drop()
+
     def _ask(self) -> None:
-        self._due = self._deadlines.after(self._wait + PATIENCE, self._hung)
+        within = WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE
+        self._due = self._deadlines.after(within, self._hung)
         if self._link is None:
             endpoint = TCP4ClientEndpoint(self._reactor, *self._address, timeout=None)
             self._call = connectProtocol(endpoint, DiscoveryLink()).addCallback(self._connected)
@@ -236,7 +254,8 @@
 
     def _connected(self, link: DiscoveryLink) -> Deferred[HttpAnswer]:
         self._link = link
-        target = f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}"
+        target = PATH if self._revision is None else (
+            f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}")
         return link.ask("{}:{}".format(*self._address), target)
 
     def _hung(self) -> None:
@@ -259,6 +278,9 @@
         self._ask()
 
     def _lost(self, why: Failure) -> None:
+        if self._call is None:
+            # By let_go, whose doing this is.
+            return
         logger.warning("discovery: {}", why.getErrorMessage())
         self._deadlines.cancel(self._due)
         self._call = None
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -17,7 +17,7 @@
 from cedarledge.net.backends import Backends, SetupLink
 from cedarledge.net.buffers import Pool
 from cedarledge.net.clients import SPARE_LINKS, ClientLink, Listener, Opening
-from cedarledge.net.config import Address, BadConfigError, StartingOrders, address_of
+from cedarledge.net.config import Address, BadConfigError, StartingOrders, address_of, read_orders
 from cedarledge.net.deadlines import Deadlines, steady_clock
 from cedarledge.net.discovery import Watch
 from cedarledge.net.echoes import Delays, Echo, Echoes
@@ -336,6 +336,19 @@
         """The one place where a tunnel's slot is given back."""
         self.tunnels.give_back(tun)
 
+    # -- a new configuration -----------------------------------------------------------------------
+
+    def reload(self) -> None:
+        """SIGHUP: what can change while connections are held is where the list is. All else takes a restart,
+        and a file that can't be used changes nothing: the operator sees why, the clients see nothing."""
+        try:
+            orders = read_orders(os.environ)
+        except BadConfigError as why:
+            logger.error("the new configuration can't be used, the old one stays: {}", why)
+            return
+        logger.info("configuration read again: discovery at {}:{}", *orders.discovery)
+        self.watching.move_to(orders.discovery)
+
     # -- the end ---------------------------------------------------------------------------------
 
     def stop(self) -> None:
@@ -353,6 +366,7 @@
             self.deadlines.after(STOP_LOOK, self._end_if_empty, earliest)
             return
         logger.info("nothing is held: ends")
+        self.watching.let_go()
         self.means.reactor.stop()
 
     def _answer_all(self) -> None:
@@ -428,7 +442,9 @@
         raise BadConfigError(str(why)) from why
     logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.ready),
                 relay.tunnels.most)
-    # Twisted's own handler would end the reactor, and every connection with it. A handler may run anywhere.
+    # A handler may run anywhere, so it only leaves word. Without one SIGHUP would end the process, and
+    # Twisted's own for SIGTERM the reactor, each with every connection.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(relay.reload))
     reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.stop))
     reactor.run()
     return 0
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -237,6 +237,7 @@
 
     def __init__(self) -> None:
         self.socket = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.ended = 0  # connections
         self.address = f"127.0.0.1:{self.socket.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -249,6 +250,7 @@
     def _serve(self, link: socket.socket) -> None:
         with contextlib.suppress(OSError, ValueError):
             self.serve(link, link.makefile("rb"))
+        self.ended += 1
 
     def serve(self, link: socket.socket, lines: IO[bytes]) -> None:
         raise NotImplementedError
@@ -333,14 +335,15 @@
                 continue
             target = line.split()[1].decode()
             self.calls.append((time.monotonic(), target))
-            since, wait = (int(part.split("=")[1]) for part in target.partition("?")[2].split("&"))
+            asked = [int(part.split("=")[1]) for part in target.partition("?")[2].split("&") if part]
+            since, wait = asked or (-1, 0)
             with self.changed:
                 if self.broken is None:
                     self.changed.wait_for(lambda since=since: self.revision > since, wait / 1000)
-                news = self.changes if self.revision > since else []
-                body = json.dumps({"revision": self.revision, "complete": False, "members": news}).encode()
+                news = self.members if not asked else self.changes if self.revision > since else []
+                told = {"revision": self.revision, "complete": not asked, "members": news}
             self.answered.append(time.monotonic())
-            link.sendall(self.broken or http(body))
+            link.sendall(self.broken or http(json.dumps(told).encode()))
 
 
 class Client:
@@ -377,7 +380,8 @@
                 "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                 "known": {"revision": 7, "complete": True, "members": self.discovery.members},
                 "settings": SETTINGS} | other
-        path = tmp / "told.json"
+        self.told = told
+        self.path = path = tmp / "told.json"
         path.write_text(json.dumps(told))
         self.log = tmp / "log"
         self.process = subprocess.Popen([sys.executable, "-m", "cedarledge"], stderr=self.log.open("wb"),
@@ -400,6 +404,10 @@
     def client(self) -> Client:
         return Client(self.address)
 
+    def reload(self, text: str | None = None, **other: object) -> None:
+        self.path.write_text(text or json.dumps(self.told | other))
+        self.process.send_signal(signal.SIGHUP)
+
     def ask_to_stop(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -7,7 +7,7 @@
 import time
 from pathlib import Path
 
-from helpers import Backend, Program, http, reset, until
+from helpers import Backend, Discovery, Program, http, reset, until
 
 
 def test_a_tunnel_from_its_first_line_to_its_end(tmp_path: Path) -> None:
@@ -207,6 +207,50 @@
         assert pages * 4096 < 80 << 20
 
 
+def test_sighup_moves_the_watch_at_once_and_nothing_else(tmp_path: Path) -> None:
+    """Without a handler SIGHUP ended the process. The old call hangs here, as one without news does."""
+    backends, late = [Backend("a")], Backend("b")
+    # A service of its own counts revisions of its own: a watch since the old one's would hear nothing.
+    others = [Discovery([backends[0].entry(), late.entry()]) for _ in range(2)]
+    for other in others:
+        other.revision = 3
+    with Program(tmp_path, backends) as relay:
+        client = relay.client()
+        assert client.open() == "UP r"
+        until(lambda: len(relay.discovery.calls) == 1)
+        for other in others:
+            relay.reload(discovery=other.address)
+            until(lambda other=other: len(other.calls) == 2, 1)
+            assert [target.rpartition("/")[2] for _, target in other.calls] == [
+                "hosts", "hosts?since=3&timeout_ms=2000"]
+        relay.reload(discovery=others[0].address)
+        relay.reload(discovery=others[1].address)
+        with relay.discovery.changed:
+            relay.discovery.broken = b" "  # so that its call ends, and what it says comes to nobody
+            relay.discovery.tell()
+        until(lambda: relay.discovery.ended == 1)
+        relay.ask_to_stop()
+        relay.reload(discovery=others[0].address)
+        until(lambda: "stops within" in relay.log.read_text() and len(others[0].calls) > 2)
+        others[0].tell(backends[0].entry("removed"))
+        until(lambda: "since=4&" in others[0].calls[-1][1])
+        assert relay.client().open("k2") == "UP r" and late.heads
+        assert client.hear() == "MOVE"
+        until(lambda: relay.process.poll() is not None, 3)
+        assert relay.process.returncode == 0 and "discovery: " not in relay.log.read_text()
+
+
+def test_a_bad_new_configuration_is_one_logged_line_and_all_stays(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a")]) as relay:
+        start = len(relay.log.read_text().splitlines())
+        for number, text in enumerate(("{", "[]", '{"name":"n"}', "[" * 9999), start):
+            relay.reload(text)
+            until(lambda number=number: len(relay.log.read_text().splitlines()) > number)
+            assert "can't be used" in relay.log.read_text().splitlines()[number]
+        assert relay.client().open() == "UP r"
+        assert len(relay.log.read_text().splitlines()) == start + 4
+
+
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path) -> None:
     path = tmp_path / "told.json"
     good = ('{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
