Bad clients are refused before a backend sees them; idle ones make room

Checked by a trace of first lines and ends, not kept: strangers send PING or nothing and stay until FIRST_LINE_WITHIN, then 10 s; with 333 held the listener stopped reading (Listener.buildProtocol), so they kept everybody out. The front sends one PING, hears PONG and ends; usual clients' first lines come within 9 ms, their d is 2 ms under the client timeout, and d=4294967 comes with at= only, but for strangers. Ruled out: CPU (1.2 s in 27 s), memory (23 of 80 MB). Changed: one bound of 2.5 s from connecting; where slots run short a newcomer takes the place of who has had its last answer, then of the longest silent; ids of tunnels are kept and taken once; d of nothing, past twice the client timeout, or said twice, and anything behind the first line are refused first; at= to a backend that nobody has ends once discovery was heard, after 2 s at the latest; 64 KiB are read of an ended connection; log lines about peers are five in 10 s, and a count; a probe without a slot is no news, not the backend's failure.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -263,8 +263,9 @@
             try:
                 link = self.probes[ep] = ProbeLink(self, ep, address)
             except FullError:
-                # Told later: the module is in the midst of asking.
-                self.means.deadlines.after(0, self.watcher.probe_over, ep, False, LoadReport())
+                # Told later, as the module is in the midst of asking, and as no news: the want of a slot is
+                # this relay's, and the backend may not be called busy for it.
+                self.means.deadlines.after(0, self.watcher.probe_over, ep, True, LoadReport())
                 return
         link.ask()
 
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -3,22 +3,23 @@
 from __future__ import annotations
 
 import re
-from collections.abc import Callable
 from typing import Any, NamedTuple, Protocol
 
-from loguru import logger
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
 from cedarledge.net.config import Address
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
-from cedarledge.terms import MS, SECOND
+from cedarledge.terms import MS
 
-# How long a connection may stand without a whole first line.
-FIRST_LINE_WITHIN = 10 * SECOND
+# How long a connection may stand without a whole OPEN: who can't be dealt with is owed an end within 3 s.
+FIRST_LINE_WITHIN = 2500 * MS
 # Connections that are not tunnels yet, or no longer, and probes: what tunnels must leave free.
 SPARE_LINKS = 48
+# With less room than this each newcomer takes the place of an idle one. Twisted takes in up to 20 more at a
+# time than it is told to, and they fit in between: a place comes free only after them.
+ROOM, LAST_ROOM, AT_A_TIME = 40, 8, 4
 WAIT = re.compile(rb"(?:^|(?<=,))d=(\d{1,9})(?=,|$)")
 
 
@@ -30,6 +31,7 @@
     """What an OPEN line asks for."""
 
     line: bytes
+    id: str
     profile: str
     key: str
     wait: int  # how long the client waits for UP; 0: not said
@@ -52,13 +54,17 @@
         words = line.decode("ascii").split(" ")
         if len(words) != 4 or words[0] != "OPEN" or not words[1] or not words[2]:
             raise MalformedError("not OPEN with an id, a key and a list of values")
-        told = dict(pair.split("=", 1) for pair in words[3].split(","))
+        pairs = [pair.split("=", 1) for pair in words[3].split(",")]
+        told = dict(pairs)
+        if len(told) < len(pairs):
+            raise MalformedError("a name twice")
         at = told.get("at")
-        if at is None and not WAIT.search(line.rpartition(b" ")[2]):
+        wait = WAIT.search(line.rpartition(b" ")[2])
+        if at is None and (wait is None or not int(wait[1])):
             raise MalformedError("no time to wait in d")
-        return Opening(line, told["c"], words[2], int(told.get("d", 0)) * MS, told.get("g"), told.get("t"),
-                       figure(told["h"]) if "h" in told else None, "1" in (told.get("r"), told.get("again")),
-                       at)
+        return Opening(line, words[1], told["c"], words[2], int(wait[1]) * MS if wait else 0, told.get("g"),
+                       told.get("t"), figure(told["h"]) if "h" in told else None,
+                       "1" in (told.get("r"), told.get("again")), at)
     except UnicodeDecodeError as why:
         raise MalformedError("bytes past ASCII") from why
     except KeyError as why:
@@ -80,50 +86,71 @@
 
     peer = "client"
 
-    def __init__(self, means: Means, taker: Taker, on_gone: Callable[[], None]) -> None:
-        super().__init__(means)
-        self.taker = taker
-        self.on_gone = on_gone
+    def __init__(self, listener: Listener) -> None:
+        super().__init__(listener.means)
+        self.taker = listener.taker
+        self.listener = listener
         self.tun = -1
+        self.is_open = False
 
     def came_up(self) -> None:
+        self.listener.waiting[self] = None
+        # From connecting on: half lines and PINGs put nothing off.
         self.due_in(FIRST_LINE_WITHIN, self.finish)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        super().dataReceived(data)
+        if self.tun >= 0 and not self.is_open and not self.ending and self.lines.waiting:
+            self.bad_input("more before the answer")
+
     def lines_came(self, lines: list[bytes]) -> None:
-        while lines and self.tun < 0 and not self.ending:
-            self._first_line(lines.pop(0))
-        if lines and not self.ending:
+        if self.is_open:
             self.taker.lines_on(self.tun, lines)
+        elif self.tun >= 0 or len(lines) > 1 or self.lines.waiting:
+            # Looked at before the line is dealt with: a backend may not see one of which the client itself
+            # makes nonsense.
+            self.bad_input("more before the answer")
+        elif lines[0] == b"PING":
+            self.send_line(b"PONG")
+        else:
+            self._first_line(lines[0])
 
     def _first_line(self, line: bytes) -> None:
-        if line == b"PING":
-            self.send_line(b"PONG")
-            self.due_in(FIRST_LINE_WITHIN, self.finish)
-            return
         try:
             opening = read_opening(line)
         except MalformedError as why:
             self.bad_input(f"{why}: {line[:80]!r}")
             return
         self.nothing_due()
+        self.listener.waiting.pop(self, None)
         self.tun = self.taker.arrived(self, opening)
 
     def turn_out(self) -> None:
-        if self.tun < 0:
-            self.fail()
-        else:
+        if self.is_open:
             super().turn_out()
+            return
+        if self.tun >= 0:
+            self.taker.client_ended(self.tun, abrupt=False)
+        self.fail()
 
     def peer_ended(self, abrupt: bool) -> None:
         if self.tun >= 0:
             self.taker.client_ended(self.tun, abrupt)
 
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        self.listener.waiting.pop(self, None)
+        self.listener.leaving[self] = None
+
     def _gone(self) -> None:
         super()._gone()
-        self.on_gone()
+        self.listener.gone(self)
 
     # -- the answers, each the last but opened ---------------------------------------------------
 
+    def opened(self, line: bytes) -> None:
+        self.is_open = True
+        self.send_line(line)
+
     def decline(self, come_back: int) -> None:
         self.send_line(b"BUSY %d" % (come_back // MS) if come_back >= MS else b"BUSY")
         self.finish()
@@ -138,7 +165,10 @@
 
 
 class Listener(ServerFactory):
-    """Takes clients in while slots are left; beyond that they wait in the system's queue."""
+    """Takes clients in. Where slots run short those that hold one for nothing make room: first who has had
+    its last answer, then who has been silent for longest. Strangers who connect by hundreds and say nothing
+    must not keep the others out; only where there are none of either do newcomers wait in the system's queue.
+    """
 
     noisy = False
 
@@ -146,20 +176,41 @@
         self.means = means
         self.taker = taker
         self.port: Any = None
+        self.paused = False
+        # Both in the order in which they came.
+        self.waiting: dict[ClientLink, None] = {}  # no whole OPEN yet
+        self.leaving: dict[ClientLink, None] = {}  # all is said, and the peer has not ended its side
+        self.going: set[ClientLink] = set()  # made to leave, their slots about to come free
 
     def open(self, address: Address) -> None:
         host, port = address
         self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
+        self.port.numberAccepts = AT_A_TIME
 
     def buildProtocol(self, addr: IAddress) -> ClientLink | None:  # noqa: N802
-        left = self.means.links.left
-        if left <= SPARE_LINKS // 2:
+        # Twisted would take in a hundred and more before it lets one of those go that make room.
+        self.port.numberAccepts = AT_A_TIME
+        self._make_room()
+        if self.means.links.left <= LAST_ROOM:
             # Refused here by closing; a socket more might be the one that ends the process.
-            logger.warning("no slot is left for a client")
+            self.means.complaints.about("client", "no slot is left")
+            self.paused = True
             self.port.stopReading()
             return None
-        return ClientLink(self.means, self.taker, self.has_room)
-
-    def has_room(self) -> None:
-        if self.means.links.left > SPARE_LINKS and self.port.connected:
+        return ClientLink(self)
+
+    def _make_room(self) -> None:
+        # A newcomer that becomes a tunnel takes a second slot for its setup, so it may be more than one.
+        while self.means.links.left + len(self.going) <= ROOM and (held := self.leaving or self.waiting):
+            link = next(iter(held))
+            del held[link]
+            self.going.add(link)
+            link.abort()
+
+    def gone(self, link: ClientLink) -> None:
+        self.waiting.pop(link, None)
+        self.leaving.pop(link, None)
+        self.going.discard(link)
+        if self.paused and self.means.links.left > LAST_ROOM and self.port.connected:
+            self.paused = False
             self.port.startReading()
--- /dev/null
+++ b/cedarledge/net/complaints.py
@@ -0,0 +1,30 @@
+"""Log lines about what peers do wrong: a few, and how many more there were."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.terms import SECOND
+
+# So many lines a peer kind in each span: a peer that is turned away comes again at once, and a line for each
+# of its tries would cost more than turning it away, and hide all else in the log.
+MOST, SPAN = 5, 10 * SECOND
+
+
+class Complaints:
+    def __init__(self, deadlines: Deadlines) -> None:
+        self._deadlines = deadlines
+        self._counts: dict[str, int] = {}
+
+    def about(self, peer: str, why: str) -> None:
+        count = self._counts[peer] = self._counts.get(peer, 0) + 1
+        if count == 1:
+            self._deadlines.after(SPAN, self._sum_up, peer)
+        if count <= MOST:
+            logger.warning("{}: {}", peer, why)
+
+    def _sum_up(self, peer: str) -> None:
+        more = self._counts.pop(peer) - MOST
+        if more > 0:
+            logger.warning("{}: {} more such lines in {} s", peer, more, SPAN // SECOND)
--- a/cedarledge/net/lines.py
+++ b/cedarledge/net/lines.py
@@ -49,6 +49,11 @@
             self._held = len(rest)
         return lines
 
+    @property
+    def waiting(self) -> bool:
+        """Whether a part of a line is here whose rest is not."""
+        return self._buffer is not None
+
     def close(self) -> None:
         """The one place where the buffer is given back."""
         if self._buffer is not None:
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from loguru import logger
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.protocol import Protocol
@@ -13,6 +12,7 @@
 from zope.interface import implementer
 
 from cedarledge.net.buffers import NoBufferError, Pool
+from cedarledge.net.complaints import Complaints
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.lines import END, LONGEST, Lines, OverlongError
 from cedarledge.net.slots import Slots
@@ -20,6 +20,8 @@
 
 # How long the peer of a connection that was ended may take to read what is left and to end its side.
 LINGER = SECOND
+# How much more is read of it meanwhile. Past that its peer is not about to hear: it is still sending.
+LINGER_BYTES = 64 << 10
 
 
 class Means(NamedTuple):
@@ -30,6 +32,7 @@
     deadlines: Deadlines
     pool: Pool
     links: Slots[Link]
+    complaints: Complaints
 
 
 @implementer(IHalfCloseableProtocol)
@@ -44,6 +47,7 @@
         self.lines = Lines(means.pool)
         self.deadline: Deadline | None = None
         self.up = self.ending = False
+        self.unheard = 0  # bytes that came after its end
         self.slot = means.links.take(self)
 
     # -- what the peers' files fill in -----------------------------------------------------------
@@ -65,7 +69,7 @@
 
     def bad_input(self, why: str) -> None:
         """The peer does not keep to the protocol."""
-        logger.warning("{}: {}", self.peer, why)
+        self.means.complaints.about(self.peer, why)
         self.turn_out()
 
     # -- deadlines -------------------------------------------------------------------------------
@@ -120,6 +124,9 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.ending:
+            self.unheard += len(data)
+            if self.unheard > LINGER_BYTES:
+                self.abort()
             return
         try:
             lines = self.lines.feed(data)
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -17,6 +17,7 @@
 from cedarledge.net.backends import Backends, SetupLink
 from cedarledge.net.buffers import Pool
 from cedarledge.net.clients import SPARE_LINKS, ClientLink, Listener, Opening
+from cedarledge.net.complaints import Complaints
 from cedarledge.net.config import Address, BadConfigError, StartingOrders, address_of, read_orders
 from cedarledge.net.deadlines import Deadlines, steady_clock
 from cedarledge.net.discovery import Watch
@@ -30,11 +31,14 @@
 
 PHASES = {"up": Standing.READY, "draining": Standing.DRAINING, "removed": Standing.GONE}
 # Descriptors for what is no line connection: standard streams, the listener, discovery, the reactor's own.
-OWN_FILES = 32
+OWN_FILES = 24
+# A client that would wait for so many times its profile's client timeout is none of ours.
+LONGER = 2
 # The way back of an answer is part of the client's wait.
 WAY_BACK = 5 * MS
 # Connections that were open before the run must be up again within 40 s of its start.
 ADOPT_WITHIN, ADOPT_CONNECT_WITHIN, ADOPT_AGAIN = 38 * SECOND, 4 * SECOND, 250 * MS
+UNKNOWN_FOR = 2 * SECOND
 # The platform kills a relay no sooner than the longest client timeout, this at most, and a little more after
 # SIGTERM; new connections go on coming for a while.
 LONGEST_STOP, NEWCOMERS_FOR, STOP_LOOK = 3 * SECOND, SECOND, 100 * MS
@@ -76,17 +80,21 @@
         most = files - OWN_FILES
         if most < 2 * SPARE_LINKS:
             raise BadConfigError(f"{files} descriptors are too few")
-        self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most))
-        self.tunnels: Slots[Tunnel] = Slots((most - SPARE_LINKS) // 2)
+        self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most),
+                           Complaints(self.deadlines))
+        self.ids: dict[str, int] = {}  # of all tunnels here, as their clients named them
+        self.tunnels: Slots[Tunnel] = Slots(
+            (most - SPARE_LINKS - min(len(orders.known.get("members") or ()), SPARE_LINKS)) // 2)
         self.eps = Indices()
         self.addresses: dict[int, Address] = {}
         self.ready: set[int] = set()
-        self.stopping = False
+        self.stopping = self.heard = False
         try:
             self.zones = Indices(settings.get("dcs"))
             self.kinds = Indices(settings.get("host_types"))
             self.profiles = {row["name"]: place for place, row in enumerate(settings.get("profiles") or ())}
             self.tenants = {row["name"]: place for place, row in enumerate(settings.get("tenants") or ())}
+            self.waits = [int(row["client_timeout"]) * US for row in settings["profiles"]]
             # Clients' lines come back at once however slow the backend's messages are; they show hangs alone.
             self.facts = site_facts(settings, orders.seed, self.clock(), self.zones)._replace(
                 delays_told=False)
@@ -102,8 +110,7 @@
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
                 probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
                 probe_word=b"PING" if settings["load_report"]["how"] == "off" else b"STATS")
-            self.stop_within = min(LONGEST_STOP, US * max(
-                int(row["client_timeout"]) for row in settings["profiles"]))
+            self.stop_within = min(LONGEST_STOP, max(self.waits))
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
@@ -177,16 +184,23 @@
             profile = self.profiles[opening.profile]
             tenant = None if opening.tenant is None else self.tenants[opening.tenant]
         except KeyError as why:
-            logger.warning("client: nothing is called {}", why)
-            client.fail()
+            client.bad_input(f"nothing is called {why}")
+            return -1
+        if opening.at is None and opening.wait > LONGER * self.waits[profile]:
+            client.bad_input(f"{opening.profile} does not wait for {opening.wait // MS} ms")
+            return -1
+        if opening.id in self.ids:
+            # Two of one id would be told apart by nobody behind this relay, and the first is the one served.
+            client.bad_input(f"{opening.id[:40]} is open already")
             return -1
         tunnel = Tunnel(client, opening, profile, tenant, self.clock())
         try:
             tun = self.tunnels.take(tunnel)
         except FullError:
-            logger.warning("no slot is left for a tunnel")
+            self.means.complaints.about("client", "no slot is left for a tunnel")
             client.decline(0)
             return -1
+        self.ids[opening.id] = tun
         if opening.at is not None:
             self._adopt(tun)
             return tun
@@ -207,6 +221,9 @@
             self.close_with_error(tun)
         elif ep in self.addresses:
             self._set_up(tun, ep, left, ADOPT_CONNECT_WITHIN)
+        elif self.heard or left < ADOPT_WITHIN - UNKNOWN_FOR:
+            # Nobody has such a backend. It may only be new since this relay's list was made.
+            self.close_with_error(tun)
         else:
             self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
 
@@ -216,7 +233,7 @@
         tunnel.up = True
         setup, client = tunnel.setup, tunnel.client
         tunnel.echo = Echo(self.echoes, tun, setup.ep)
-        client.send_line(line)
+        client.opened(line)
         # A side that reads slowly holds up the other one's reading, not this relay's memory.
         client.transport.registerProducer(setup.transport, True)
         setup.transport.registerProducer(client.transport, True)
@@ -232,11 +249,6 @@
         tunnel = self.tunnels.get(tun)
         if tunnel is None or tunnel.over:
             return
-        if not tunnel.up:
-            logger.warning("client: lines before UP")
-            self.client_ended(tun, abrupt=False)
-            tunnel.client.fail()
-            return
         tunnel.setup.send_lines(lines)
         tunnel.echo.asked()
 
@@ -252,7 +264,7 @@
             try:
                 load = figure(line[5:].decode("ascii"))
             except ValueError:
-                logger.warning("backend: no load: {!r}", line[:80])
+                self.means.complaints.about("backend", f"no load: {line[:80]!r}")
                 continue
             self._tell(self.balancer.load_told, tun, load)
 
@@ -333,7 +345,8 @@
             tunnel.client.fail()
 
     def _free(self, tun: int) -> None:
-        """The one place where a tunnel's slot is given back."""
+        """The one place where a tunnel's slot and its id are given back."""
+        del self.ids[self.tunnels.get(tun).opening.id]
         self.tunnels.give_back(tun)
 
     # -- a new configuration -----------------------------------------------------------------------
@@ -393,6 +406,7 @@
     def list_told(self, whole: bool, members: list[dict[str, Any]]) -> None:
         """Applied the moment it is read: the grace for drains runs from when discovery wrote it."""
         entries = [self._listed(entry) for entry in members]
+        self.heard = True
         self._list_changed(ListForm.WHOLE if whole else ListForm.CHANGES, entries)
 
     def _list_changed(self, form: ListForm, entries: list[Listed]) -> None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,6 +15,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from itertools import count
 from pathlib import Path
 from typing import IO
 
@@ -346,6 +347,9 @@
             link.sendall(self.broken or http(json.dumps(told).encode()))
 
 
+IDS = count(1)
+
+
 class Client:
     """One client's connection to the relay."""
 
@@ -365,7 +369,8 @@
             return "reset"
 
     def open(self, key: str = "k", names: str = "c=feed,d=1500,g=g1") -> str:
-        return self.say(f"OPEN 9b1f03aa5c7e2d41 {key} {names}")
+        self.id = f"{next(IDS):016x}"
+        return self.say(f"OPEN {self.id} {key} {names}")
 
 
 class Program:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,6 +5,7 @@
 import subprocess
 import sys
 import time
+from contextlib import suppress
 from pathlib import Path
 
 from helpers import Backend, Discovery, Program, http, reset, until
@@ -16,7 +17,7 @@
         client = relay.client()
         assert client.open("some/key", "c=feed,d=1500,g=g1,again=1") == "UP r"
         start, d, rest = backend.heads[0].replace(",", " ", 1).partition("d=")
-        assert start == "OPEN 9b1f03aa5c7e2d41 some/key c=feed " and d
+        assert start == f"OPEN {client.id} some/key c=feed " and d
         assert 0 < int(rest.split(",")[0]) < 1500 and rest.endswith(",g=g1,again=1")
         assert client.say("M 1") == "M 1"
         backend.opened[0].sendall(b"LOAD 12.5\r\nBYE\r\n")
@@ -54,9 +55,10 @@
     with Program(tmp_path, backends) as relay:
         relay.discovery.tell(backends[1].entry("draining"))
         until(lambda: len(relay.discovery.calls) > 1)
-        assert relay.client().open("k", "c=feed,d=4294967,at=b") == "UP r"
+        client = relay.client()
+        assert client.open("k", "c=feed,d=4294967,at=b") == "UP r"
         assert not backends[0].heads
-        assert backends[1].heads == ["OPEN 9b1f03aa5c7e2d41 k c=feed,d=4294967,at=b"] * 2
+        assert backends[1].heads == [f"OPEN {client.id} k c=feed,d=4294967,at=b"] * 2
 
 
 def test_either_end_of_an_open_tunnel_ends_the_other_in_the_same_way(tmp_path: Path) -> None:
@@ -142,10 +144,17 @@
     with Program(tmp_path, backends) as relay:
         for line in (b"OPEN 1 k c=none,d=9\r\n", b"OPEN 1 k c=feed\r\n", b"OPEN 1 k d=9\r\n", b"OPEN 1\r\n",
                      b"\r\n", b"OPEN 1 k c=feed,d=9,h=nan\r\n", b"\xff\xfe\r\n", b"x" * 5000,
-                     b"GET / HTTP/1.1\r\n\r\n"):
+                     b"GET / HTTP/1.1\r\n\r\n", b"OPEN k c=feed,d=900\r\n", b"OPEN 1 k c=feed,d=0\r\n",
+                     b"OPEN 1 k c=feed,d=-5\r\n", b"OPEN 1 k c=feed,d=soon\r\n",
+                     b"OPEN 1 k c=feed,d=4294967\r\n", b"OPEN 1 k c=feed,d=9,d=900\r\n",
+                     b"OPEN 1 k c=feed,d=900\r\nM 1\r\n",
+                     b"OPEN 1 k c=feed,d=900\r\nM", b"OPEN 1 k c=feed,d=900\r\n" * 300, b"PING\r\n" * 300):
             client = relay.client()
             client.link.sendall(line)
-            assert client.hear() == "ERR" and client.hear() == ""
+            assert client.hear() == "ERR" and client.hear() in ("", "reset"), line
+        assert not any(backend.heads for backend in backends), "what is refused no backend sees"
+        # Each line would be a warning: an hour of tries must not be the whole log.
+        assert relay.log.read_text().count("WARNING client") < 10
         half = relay.client()
         half.link.sendall(b"OPEN 1 k c=fe")
         half.link.shutdown(1)
@@ -190,6 +199,74 @@
         assert relay.client().open() == "UP r"
 
 
+def test_an_id_is_taken_once_until_its_tunnel_has_ended(tmp_path: Path) -> None:
+    backends = [Backend(name, "hang", "UP r") for name in "ab"]
+    backends[0].modes = backends[1].modes
+    with Program(tmp_path, backends) as relay:
+        first, again = relay.client(), relay.client()
+        line = "OPEN one k c=feed,d=1500"
+        first.link.sendall(line.encode() + b"\r\n")
+        assert again.say(line) == "ERR" and first.hear() == "UP r"
+        assert relay.client().say(line) == "ERR"
+        assert first.say("M 1") == "M 1", "the first of the id is left in peace"
+        first.file.close()
+        first.link.close()
+        until(lambda: "ended" in backends[0].ends + backends[1].ends)
+        assert relay.client().say(line + ",again=1") == "UP r"
+
+
+def test_more_than_its_line_ends_a_client_that_waits(tmp_path: Path) -> None:
+    """Half a line too: its rest would come out behind UP, as the backend's to deal with."""
+    backend = Backend("a", "hang")
+    with Program(tmp_path, [backend]) as relay:
+        client = relay.client()
+        client.link.sendall(b"OPEN 1 k c=bill,d=1500\r\n")
+        until(lambda: backend.heads)
+        assert client.say("M")[:3] == "ERR"
+        until(lambda: backend.ends)
+        stranger, start = relay.client(), time.monotonic()
+        assert stranger.open("k", "c=feed,d=4294967,at=nowhere") == "ERR" and time.monotonic() - start < 2.9
+
+
+def test_who_says_nothing_is_ended_within_a_bound_that_nothing_puts_off(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a")]) as relay:
+        silent, half, pings = (relay.client() for _ in range(3))
+        start = time.monotonic()
+        half.link.sendall(b"OPEN 1 k c=")
+        for _ in range(4):
+            assert pings.say("PING") == "PONG"
+            time.sleep(0.5)
+        assert [client.hear() for client in (silent, half, pings)] == [""] * 3
+        assert 2 < time.monotonic() - start < 2.9
+
+
+def test_strangers_who_say_nothing_keep_nobody_out(tmp_path: Path) -> None:
+    limits = {"cores": 1, "memory_mb": 64, "sockets": 256}
+    backend = Backend("a")
+    with Program(tmp_path, [backend], limits=limits) as relay:
+        strangers = []
+        for number in range(85):
+            strangers += [relay.client() for _ in range(6)]
+            for stranger in strangers[-3:]:
+                stranger.link.sendall(b"PING\r\n")
+            client = relay.client()
+            assert client.open(str(number)) == "UP r"
+            strangers.append(client)  # and stays
+        assert relay.client().say("PING") == "PONG"
+        assert "left" not in relay.log.read_text()
+
+
+def test_a_line_without_an_end_is_not_read_on(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a")]) as relay:
+        client = relay.client()
+        start, sent = time.monotonic(), 0
+        with suppress(ConnectionError):
+            while sent < 60 << 20:
+                sent += client.link.send(b"z" * 65536)
+        assert sent < 16 << 20 and time.monotonic() - start < 2
+        assert relay.client().open() == "UP r"
+
+
 def test_a_slow_reader_is_not_read_ahead_for(tmp_path: Path) -> None:
     backend = Backend("a")
     with Program(tmp_path, [backend]) as relay:
