An error counts against its backend only where another then takes the tunnel

Traced (debug lines, then the answers of backends with the lines that they answer; neither kept): tunnel 0 of the restarted relay is a bad client's, with the id of a request that is open at the other relay. ERR comes from four backends in turn, each within 1 ms, and Balancer._learn_failure struck each of them; the next 35 clients all came to the one or two that were left, and drowned them. Changed: where a setup ends in ERROR or RESET its backend is a suspect. It is set aside when the tunnel opens elsewhere, or is given up with that one error; a tunnel that several refuse is itself to blame.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -13,6 +13,7 @@
 
 import math
 import random
+from collections import Counter
 from hashlib import blake2b
 
 from cedarledge.terms import (
@@ -120,14 +121,11 @@
     def forget(self) -> None:
         """What a fresh start of the backend makes untrue."""
         self.asked = -1.0
-        self.load_then = 0.0
-        self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = 0
+        self.load_then = self.credit = 0.0
+        self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = self.credit_at = 0
+        self.delay = self.strikes = 0
         self.busy = False
-        self.delay = 0
-        self.strikes = 0
         self.shown = (Fading(15 * SECOND), Fading(15 * SECOND))
-        self.credit = 0.0
-        self.credit_at = 0
 
 
 class Tunnel:
@@ -143,6 +141,7 @@
         self.load = load
         self.ep = -1
         self.tried: list[int] = []
+        self.suspects: list[Member] = []  # where it ended in an error, and whose fault that was is open
         self.setups = self.looks = self.look_until = 0
         self.sent_at = self.opened_at = 0
         self.out = self.over = self.moved = False
@@ -189,14 +188,13 @@
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
         self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
-        self.tenant_open: dict[int, int] = {}
+        self.tenant_open: Counter[int | None] = Counter()
         self.next_probe = facts.now
         self.stop_by = self.first_looks = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
-        self.tightest = facts.tightest
         if facts.must_ask:
             host.watch()
         host.wake(int(TICK * (0.5 + 0.5 * self.chance())), TICK_TOKEN)
@@ -573,14 +571,15 @@
         quotas = self.facts.quotas
         if tun.tenant is None or tun.tenant >= len(quotas) or not quotas[tun.tenant]:
             return False
-        return self.tenant_open.get(tun.tenant, 0) >= quotas[tun.tenant] / self.facts.relays
+        return self.tenant_open[tun.tenant] >= quotas[tun.tenant] / self.facts.relays
 
     def _give_up(self, now: int, tun_id: int, tun: Tunnel) -> None:
         """The final answer, at once; it says when to return where clients are told."""
         tun.over = True
+        if len(tun.suspects) == 1:
+            self._strike(now, tun.suspects[0])
         if self._may_decline(tun):
-            most = self.facts.come_back_max
-            self.host.decline(tun_id, int(most * (0.5 + 0.5 * self.chance())))
+            self.host.decline(tun_id, int(self.facts.come_back_max * (0.5 + 0.5 * self.chance())))
         else:
             self.host.close_with_error(tun_id)
         if not tun.out:
@@ -593,8 +592,7 @@
         member.load += tun.load
         member.tuns[tun_id] = tun
         self.holding[member.ep] = member
-        if tun.tenant is not None:
-            self.tenant_open[tun.tenant] = self.tenant_open.get(tun.tenant, 0) + 1
+        self.tenant_open[tun.tenant] += 1
         member.lately.add(now, tun.load)
 
     def _release(self, now: int, tun_id: int, tun: Tunnel, member: Member) -> None:
@@ -603,8 +601,7 @@
         del member.tuns[tun_id]
         if not member.tuns:
             del self.holding[member.ep]
-        if tun.tenant is not None:
-            self.tenant_open[tun.tenant] -= 1
+        self.tenant_open[tun.tenant] -= 1
         member.lately.add(now, -tun.load)
 
     def adopted(self, now: int, tun_id: int, profile: int, tenant: int | None, key: str | None,
@@ -630,6 +627,8 @@
         member = self.members[tun.ep]
         member.pending -= 1
         member.strikes = 0
+        for other in tun.suspects:
+            self._strike(now, other)
         self.in_flight -= 1
         self.window += 1
         self.openings.add(now, 1)
@@ -657,7 +656,7 @@
             self.in_flight -= 1
             if outcome not in NEVER_RAN and tun.bound < 0:
                 tun.bound, tun.bound_at = ep, tun.sent_at
-            self._learn_failure(now, member, outcome, took)
+            self._learn_failure(now, tun, member, outcome, took)
         elif outcome is Outcome.RESET and member.standing is Standing.READY:
             # The server dropped a running connection: the design's third sign of a busy one.
             member.full_until = now + BUSY_HOLD
@@ -669,15 +668,18 @@
         else:
             self._try_again(now, tun_id, tun)
 
-    def _learn_failure(self, now: int, member: Member, outcome: Outcome, took: int) -> None:
+    def _learn_failure(self, now: int, tun: Tunnel, member: Member, outcome: Outcome, took: int) -> None:
         if outcome is Outcome.FULL:
             member.full_until = now + BUSY_HOLD
         elif outcome is Outcome.TIMEOUT:
             # Time-outs count as slow set-ups, or a slow shared store would never be waited for.
             self._learn_setup(now, 2 * took)
             self._strike(now, member)
-        elif outcome in (Outcome.ERROR, Outcome.CONNECT_FAILED, Outcome.RESET):
+        elif outcome is Outcome.CONNECT_FAILED:
             self._strike(now, member)
+        elif outcome in (Outcome.ERROR, Outcome.RESET):
+            # What no member takes is to blame itself: one bad client could set the whole fleet aside.
+            tun.suspects.append(member)
 
     def _try_again(self, now: int, tun_id: int, tun: Tunnel) -> None:
         row = self.facts.profiles[tun.profile]
@@ -708,7 +710,7 @@
     def delay_told(self, now: int, ep: int, delay: int) -> None:
         member = self.members[ep]
         member.delay, member.delay_at = delay, now
-        if self.tightest and delay > self.tightest // 2:
+        if self.facts.tightest and delay > self.facts.tightest // 2:
             # Told at once, where a report may be a round of probes old: it counts as load over the threshold.
             member.full_until = max(member.full_until, now + 1500 * MS)
 
@@ -834,7 +836,7 @@
             if member.standing is not Standing.READY:
                 continue
             asked = self._asked(now, member)
-            late = now - member.delay_at < 1500 * MS and self.tightest and member.delay > self.tightest
+            late = now - member.delay_at < 1500 * MS and member.delay > self.facts.tightest > 0
             target = RELIEF
             if late:
                 # Work is piled up there: until it is done nobody there is served, however little is asked.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -237,6 +237,24 @@
         assert len(ledger.cases[tun].setups) == setups
 
 
+def test_what_no_member_takes_sets_none_aside_and_one_that_fails_what_another_takes_goes() -> None:
+    """One bad client, with the id of a request that is open elsewhere, set aside four backends of five."""
+    for outcome in (Outcome.ERROR, Outcome.RESET):
+        for errors, aside in ((4, 0), (2, 2), (1, 1)):
+            ledger = fleet(5, cells=1)
+            tun = ledger.arrive(key="one")
+            for _ in range(errors):
+                ledger.end(tun, outcome)
+            assert ledger.cases[tun].answered == (errors == 4)
+            if errors < 4:
+                ledger.open(tun)
+            members = ledger.balancer.members.values()
+            assert [ledger.balancer._is_out(ledger.now, member) for member in members].count(True) == aside
+    ledger = fleet(5, cells=1, most_setups=1)
+    ledger.end(ledger.arrive(key="one"), Outcome.ERROR)
+    assert [member.strikes for member in ledger.balancer.members.values()].count(1) == 1
+
+
 def test_an_old_flag_is_looked_at_before_it_is_gone_by() -> None:
     ledger = fleet(3, cells=1)
     top = placed(ledger, ledger.arrive(key="one"))
