Names, load guesses and remembered clients are bounded

Found by reading for what a stranger can fill: ids, keys and groups came with up to 4 KiB and stay in tables for as long as a tunnel lasts, keys in Balancer.met for 20 s at any rate (4000 x 4 KiB are 16 MB, and past 4000 each arrival swept them all); h=1e300 or h=-2 went into the loads that the module learns, for 60 s. Changed: 256 bytes for a name, 0 to 1e6 for a guess, else ERR; 4000 clients remembered, then all forgotten at once.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -184,7 +184,7 @@
         self.fleet, self.fleet_until = -1.0, 0
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals, self.retries = Fading(10 * SECOND), Fading(10 * SECOND)
-        self.met: dict[str, int] = {}
+        self.met: set[str] = set()
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
         self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
@@ -387,9 +387,9 @@
         if not returning and key not in self.met:
             self.asked_for[profile].add(now, 1)
         if key is not None:
-            self.met[key] = now
-            if len(self.met) > 4000:
-                self.met = {met: at for met, at in self.met.items() if now - at < 20 * SECOND}
+            if len(self.met) >= 4000:
+                self.met.clear()  # at once: in a flood of new ones a sweep for each would cost too much
+            self.met.add(key)
         self._place(now, tun_id, tun)
 
     def _learn_load(self, now: int, profile: int, load: float) -> None:
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -23,6 +23,13 @@
 WAIT = re.compile(rb"(?:^|(?<=,))d=(\d{1,9})(?=,|$)")
 
 
+# No id, key or group comes near this. They stay in tables for as long as a tunnel lasts, keys in the module's
+# for longer, and a stranger could fill these with lines of the longest length.
+LONGEST_NAME = 256
+# What one connection can ask of a backend, by far: a guess past that would drown all others' in every mean.
+MOST_LOAD = 1e6
+
+
 class MalformedError(Exception):
     """A line that is no OPEN as the protocol has it."""
 
@@ -58,13 +65,17 @@
         told = dict(pairs)
         if len(told) < len(pairs):
             raise MalformedError("a name twice")
+        if max(map(len, (*words[1:3], told.get("g", "")))) > LONGEST_NAME:
+            raise MalformedError(f"a name of over {LONGEST_NAME} bytes")
+        hint = figure(told["h"]) if "h" in told else None
+        if hint is not None and not 0 <= hint <= MOST_LOAD:
+            raise MalformedError("no load in h")
         at = told.get("at")
         wait = WAIT.search(line.rpartition(b" ")[2])
         if at is None and (wait is None or not int(wait[1])):
             raise MalformedError("no time to wait in d")
         return Opening(line, words[1], told["c"], words[2], int(wait[1]) * MS if wait else 0, told.get("g"),
-                       told.get("t"), figure(told["h"]) if "h" in told else None,
-                       "1" in (told.get("r"), told.get("again")), at)
+                       told.get("t"), hint, "1" in (told.get("r"), told.get("again")), at)
     except UnicodeDecodeError as why:
         raise MalformedError("bytes past ASCII") from why
     except KeyError as why:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -255,6 +255,13 @@
     assert [member.strikes for member in ledger.balancer.members.values()].count(1) == 1
 
 
+def test_a_flood_of_new_clients_fills_no_table() -> None:
+    ledger = fleet(4)
+    for number in range(4500):
+        ledger.arrive(key=str(number))
+    assert len(ledger.balancer.met) <= 4000
+
+
 def test_an_old_flag_is_looked_at_before_it_is_gone_by() -> None:
     ledger = fleet(3, cells=1)
     top = placed(ledger, ledger.arrive(key="one"))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -169,15 +169,18 @@
 
 @given(line=st.one_of(st.binary(max_size=60), st.builds(
     lambda names, key: f"OPEN 1 {key} {','.join(names)}".encode(), st.lists(st.sampled_from(
-        ["c=feed", "d=40", "d=x", "d=-1", "h=inf", "h=2.5", "r=1", "again=1", "at=b", "g=", "=", ""])),
-    st.sampled_from(["k", "", "a/b", "\u00e9"]))))
+        ["c=feed", "d=40", "d=x", "d=-1",
+         "d=0", "d=7777777777", "h=inf", "h=2.5", "h=-2", "h=1e300", "r=1", "again=1", "at=b", "g=",
+         "g=" + "g" * 999, "=", ""])), st.sampled_from(["k", "", "a/b", "\u00e9", "k" * 999]))))
 @often
 def test_an_opening_is_read_or_malformed(line: bytes) -> None:
     try:
         opening = read_opening(line)
     except MalformedError:
         return
-    assert opening.profile and opening.key and (opening.wait > 0 or opening.at)
+    assert opening.profile and 0 < len(opening.key) < 999 and (opening.wait > 0 or opening.at)
+    assert opening.wait < 10_000 * SECOND and len(opening.group or "") < 999
+    assert opening.hint in (None, 2.5), "any other would drown the loads that the module has learned"
     head = opening.head(7 * MS)
     assert head == line if opening.at else head.replace(b"d=7", b"d=40", 1) == line
 
