--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -496,8 +496,8 @@
 
     def _standing_count(self, now: int, member: Member, mean: float) -> float:
         if member.asked < 0 or self._is_cold(now, member):
-            return max(mean, member.open + member.pending)
-        return member.open + member.pending
+            return max(mean, member.open)
+        return member.open
 
     def _may_follow(self, now: int, tun: Tunnel, member: Member) -> bool:
         """The second rule: where an effect may have happened, only its dedup group may see the tunnel."""
