Moves off a member need a report over the limit; a guess brings a probe

Debug lines: the three that are left report 0.55 to 0.85 and take their set-ups in 20 to 60 ms, yet one relay moves twenty clients off them in 9 s, some off a member whose next report says 0.55. Told from rivals: no member was over the limit in any report (so no overload), no set-up failed there (no hang), the two that came back cold were given tunnels within their budget. Balancer._relieve went by _asked, the report plus this relay's own changes since, counted for both relays, over a capacity that is itself a guess: 0.28 reported and six tunnels placed came out over 0.95, where 0.55 was true. Changed: a member is sick only where its report says so as well; what has changed since may unsay it. A member that the guess alone puts over the limit is looked at before its turn.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -345,9 +345,8 @@
     def _cold_allows(self, now: int, member: Member, size: float) -> bool:
         """Whether a tunnel is within this relay's share of a cold member's budget.
 
-        The share grows with time and is spent a tunnel at a time. It starts anywhere below one tunnel, by
-        chance: hundreds of relays, each with a share of a fraction of a tunnel, come to their first at
-        different times, and together keep the pace that one relay alone would keep.
+        It grows with time and is spent a tunnel at a time. It starts by chance below one: hundreds of relays
+        come to their first at different times, and together keep the pace that one alone would keep.
         """
         facts = self.facts
         if not self._is_cold(now, member):
@@ -753,7 +752,8 @@
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in self.holding.values()
                     if now - member.probe_at >= every and member.standing is Standing.READY and (
-                        member.strikes or member.asked > DROWNING or now < member.full_until)]
+                        member.strikes or max(member.asked, self._asked(now, member)) > DROWNING
+                        or now < member.full_until)]
         if not doubtful and self.first_looks < min(len(self.tuns), self.ready):
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
@@ -835,7 +835,8 @@
         for member in self.holding.values():
             if member.standing is not Standing.READY:
                 continue
-            asked = self._asked(now, member)
+            # A move costs its client: a guess at what changed since the report brings a look, never a move.
+            asked = min(member.asked, self._asked(now, member))
             late = now - member.delay_at < 1500 * MS and member.delay > self.facts.tightest > 0
             target = RELIEF
             if late:
@@ -877,9 +878,8 @@
                    if self._is_settled(now, tun)]
         settled.sort(reverse=True)
         moved = 0
-        # One among hundreds holds a connection or two there, and its part of the surplus is less than one of
-        # them. So what is left over is settled by a draw, once for each report that can show what the last
-        # draws did: together the relays move their part.
+        # One among hundreds holds more in one connection than its part of the surplus. So a draw settles it,
+        # once for each report that can show what the last draws did: together the relays move their part.
         shows = member.seen_at - member.eased_at > EASE
         draws = shows and len(settled) <= FEW_HELD
         for load, tun_id in settled:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -237,6 +237,29 @@
         assert len(ledger.cases[tun].setups) == setups
 
 
+def test_a_guess_at_a_members_load_brings_a_probe_and_a_report_the_moves() -> None:
+    """After two backends had crashed one relay moved twenty clients off others that reported 0.55 to 0.75."""
+    ledger = fleet(4)
+    tuns = [ledger.arrive(key=str(number), hint=100.0) for number in range(40)]
+    for tun in tuns:
+        ledger.open(tun)
+    for _ in range(4):
+        ledger.run(SECOND)
+        for ep in range(4):
+            ledger.report(ep, 0.5)
+    crowded = placed(ledger, tuns[0])
+    for tun in tuns:
+        if placed(ledger, tun) == crowded:
+            ledger.balancer.load_told(ledger.now, tun, 250.0)
+    assert ledger.balancer._asked(ledger.now, ledger.balancer.members[crowded]) > 1
+    ledger.probes.clear()
+    ledger.run(4 * TICK)
+    assert not ledger.moves and crowded in [ep for _, ep in ledger.probes]
+    ledger.report(crowded, 1.2)
+    ledger.run(TICK)
+    assert ledger.moves and {placed(ledger, tun) for tun in ledger.moves} == {crowded}
+
+
 def test_what_no_member_takes_sets_none_aside_and_one_that_fails_what_another_takes_goes() -> None:
     """One bad client, with the id of a request that is open elsewhere, set aside four backends of five."""
     for outcome in (Outcome.ERROR, Outcome.RESET):
