--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -386,11 +386,14 @@
                 "known": {"revision": 7, "complete": True, "members": self.discovery.members},
                 "settings": SETTINGS} | other
         self.told = told
-        self.path = path = tmp / "told.json"
-        path.write_text(json.dumps(told))
+        self.path = tmp / "told.json"
+        self.path.write_text(json.dumps(told))
         self.log = tmp / "log"
-        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge"], stderr=self.log.open("wb"),
-                                        env=os.environ | {"BALANCER_CONFIG": str(path)})
+        self.start()
+
+    def start(self) -> None:
+        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge"], stderr=self.log.open("ab"),
+                                        env=os.environ | {"BALANCER_CONFIG": str(self.path)})
 
     def __enter__(self) -> Program:
         until(lambda: self.process.poll() is not None or self.answers())
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -201,6 +201,29 @@
         assert relay.process.returncode == 0
 
 
+def test_a_killed_relay_starts_again_from_the_list_it_was_told(tmp_path: Path) -> None:
+    """Discovery is down, and one backend of the old list has gone since: nobody listens at its address."""
+    backends, gone = [Backend("a"), Backend("b")], Backend("gone")
+    gone.socket.shutdown(2)
+    gone.socket.close()
+    with Program(tmp_path, [*backends, gone]) as relay:
+        clients = [relay.client() for _ in range(6)]
+        assert all(client.open(str(number)) == "UP r" for number, client in enumerate(clients))
+        relay.discovery.broken = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        relay.process.kill()
+        assert relay.process.wait() and not any(client.hear() == "MOVE" for client in clients)
+        relay.start()
+        until(relay.answers)
+        again = [relay.client() for _ in range(6)]
+        assert [client.open(str(number), "c=feed,d=1500,r=1,again=1")
+                for number, client in enumerate(again)] == ["UP r"] * 6
+        relay.discovery.broken = None
+        relay.discovery.tell(backends[0].entry("removed"))
+        until(lambda: "since=8&" in relay.discovery.calls[-1][1])
+        held = len(backends[0].heads)
+        assert relay.client().open("new") == "UP r" and len(backends[0].heads) == held
+
+
 def test_slots_run_out_without_harm_and_come_back(tmp_path: Path) -> None:
     backend = Backend("a")
     with Program(tmp_path, [backend], limits={"cores": 1, "memory_mb": 192, "sockets": 200}) as relay:
