--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,11 +9,13 @@
 import hypothesis.strategies as st
 from helpers import MS, SECOND, http
 from hypothesis import given, settings
+from loguru import logger
 from pytest import raises
 from twisted.internet.task import Clock
 
 from cedarledge.net.buffers import NoBufferError, Pool
 from cedarledge.net.clients import MalformedError, read_opening
+from cedarledge.net.complaints import MOST, Complaints
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.discovery import HttpError, HttpReader
 from cedarledge.net.echoes import SILENT, Delays, Echo, Echoes
@@ -224,6 +226,19 @@
     assert silent == [5]
 
 
+def test_complaints_are_a_few_lines_and_a_count() -> None:
+    clock, said = Clock(), []
+    complaints = Complaints(Deadlines(clock, lambda: round(clock.seconds() * SECOND)))
+    sink = logger.add(said.append, format="{message}")
+    for _ in range(2):
+        for number in range(500):
+            complaints.about("client", f"bad line {number}")
+        complaints.about("backend", "another kind has lines of its own")
+        clock.advance(20)
+    logger.remove(sink)
+    assert len(said) == 2 * (MOST + 2) and said[MOST + 1] == f"client: {500 - MOST} more such lines in 10 s\n"
+
+
 def test_a_backend_is_slower_than_its_usual_and_than_the_others() -> None:
     paces = Paces(10 * MS)
     for ep in range(5):
