A stranger's at= is tried once where others have come already

Found by reading: Relay.setup_over sends a connection that was open before the run again every 250 ms for 38 s when its backend says BUSY or can't be reached, whoever asks and whenever. A stranger with at= and a listed backend would hold a slot and press that backend for as long, where he is owed an end within 3 s. The run begins when all such connections are up, so once an ordinary request has come here one with at= is tried once. Simulated backends, clients and discovery; real relays and sockets.

--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -91,7 +91,7 @@
         self.eps = Indices()
         self.addresses: dict[int, Address] = {}
         self.ready: set[int] = set()
-        self.stopping = self.heard = False
+        self.stopping = self.heard = self.begun = False
         # Clients that came back here less those that were sent away from here: more come than go while
         # another relay is down, and about as many where a backend is.
         self.refugees = Fading(LATELY)
@@ -211,7 +211,7 @@
         if opening.at is not None:
             self._adopt(tun)
             return tun
-        tunnel.known = True
+        tunnel.known = self.begun = True
         if opening.returning:
             self.refugees.add(self.clock(), 1)
         if not self._tell(self.balancer.tunnel_arrived, tun, profile, tenant, opening.key, opening.group,
@@ -294,7 +294,9 @@
             else:
                 tunnel.client.finish()
         if not tunnel.known:
-            if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT):
+            # Where others have come already the run has begun, which it does not while one of these waits:
+            # only a stranger asks now, and is not to hold a slot and press a backend for as long.
+            if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT) and not self.begun:
                 self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
             else:
                 self.close_with_error(tun)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -59,6 +59,10 @@
         assert client.open("k", "c=feed,d=4294967,at=b") == "UP r"
         assert not backends[0].heads
         assert backends[1].heads == [f"OPEN {client.id} k c=feed,d=4294967,at=b"] * 2
+        # Once others come all such are up, so what asks now is a stranger, and is tried once.
+        assert relay.client().open() == "UP r"
+        backends[1].modes, start = ["BUSY"], time.monotonic()
+        assert relay.client().open("k", "c=feed,d=4294967,at=b") == "ERR" and time.monotonic() - start < 1
 
 
 def test_either_end_of_an_open_tunnel_ends_the_other_in_the_same_way(tmp_path: Path) -> None:
