The test of both ends waits for the first two ends before it counts the next

Seen in one full run, then in one of eight runs of the test alone: `backend.ends` was cleared before the stand-in's threads had noted the first two connections' ends, so these came into the list that was compared. The test was at fault, not the relay.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -73,6 +73,8 @@
         start = time.monotonic()
         backend.opened[0].shutdown(1)
         assert [clients[0].hear(), clients[1].say("RESET")] == ["", "reset"]
+        # Those two's ends come a little later on the other side.
+        until(lambda: len(backend.ends) == 2)
         backend.ends.clear()
         clients[2].file.close()
         clients[2].link.close()
