The stand-in notes an open connection before it says UP

Seen with three suites at once: `backend.opened[0]` was missing, or another client's, since the stand-in said UP first and noted the connection after. The test was at fault, not the relay.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -301,10 +301,11 @@
                 if mode == "reset":
                     reset(link, lines)
                     return
-                if mode != "hang":
-                    link.sendall(mode.encode() + b"\r\n")
+                # Noted before it is said: whoever hears UP may look here at once.
                 if mode.startswith("UP"):
                     self.opened.append(link)
+                if mode != "hang":
+                    link.sendall(mode.encode() + b"\r\n")
 
 
 def http(body: bytes) -> bytes:
