Read once more: one check for early lines, one way to give discovery back

- A client that waits for its answer may send nothing: ClientLink looks before anything is parsed, where it looked twice after it, once for whole lines and once for a part of one.
- Watch._lost goes by let_go, which does the same three things.
- Relay.ids is a set: no one read its values.
Relay._adopt and Relay.stop say what they decide by without a detour.
- The table of tunnels is sized by the known list once that was read, not by a guess at it before: a `members` that is no list ended the program with a traceback, and is one plain line now.
The test has that case and fails without it.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -21,8 +21,6 @@
 # time than it is told to, and they fit in between: a place comes free only after them.
 ROOM, LAST_ROOM, AT_A_TIME = 40, 8, 4
 WAIT = re.compile(rb"(?:^|(?<=,))d=(\d{1,9})(?=,|$)")
-
-
 # No id, key or group comes near this. They stay in tables for as long as a tunnel lasts, keys in the module's
 # for longer, and a stranger could fill these with lines of the longest length.
 LONGEST_NAME = 256
@@ -110,14 +108,15 @@
         self.due_in(FIRST_LINE_WITHIN, self.finish)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        super().dataReceived(data)
-        if self.tun >= 0 and not self.is_open and not self.ending and self.lines.waiting:
+        if self.tun >= 0 and not self.is_open and not self.ending:
             self.bad_input("more before the answer")
+        else:
+            super().dataReceived(data)
 
     def lines_came(self, lines: list[bytes]) -> None:
         if self.is_open:
             self.taker.lines_on(self.tun, lines)
-        elif self.tun >= 0 or len(lines) > 1 or self.lines.waiting:
+        elif len(lines) > 1 or self.lines.waiting:
             # Looked at before the line is dealt with: a backend may not see one of which the client itself
             # makes nonsense.
             self.bad_input("more before the answer")
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -282,9 +282,8 @@
             # By let_go, whose doing this is.
             return
         logger.warning("discovery: {}", why.getErrorMessage())
-        self._deadlines.cancel(self._due)
         self._call = None
-        self._drop()
+        self.let_go()
         self._failed()
 
     def _drop(self) -> None:
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -85,9 +85,7 @@
             raise BadConfigError(f"{files} descriptors are too few")
         self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most),
                            Complaints(self.deadlines))
-        self.ids: dict[str, int] = {}  # of all tunnels here, as their clients named them
-        self.tunnels: Slots[Tunnel] = Slots(
-            (most - SPARE_LINKS - min(len(orders.known.get("members") or ()), SPARE_LINKS)) // 2)
+        self.ids: set[str] = set()  # of all tunnels here, as their clients named them
         self.eps = Indices()
         self.addresses: dict[int, Address] = {}
         self.ready: set[int] = set()
@@ -120,6 +118,7 @@
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
+        self.tunnels: Slots[Tunnel] = Slots((most - SPARE_LINKS - min(len(known), SPARE_LINKS)) // 2)
         slow = self.facts.tightest // 3 if tells else 0
         self.reported, in_lines = (Delays(self.clock, slow, self.delay_told) for _ in range(2))
         self.echoes = Echoes(self.clock, self.deadlines, in_lines, self.silent)
@@ -207,7 +206,7 @@
             self.means.complaints.about("client", "no slot is left for a tunnel")
             client.decline(0)
             return -1
-        self.ids[opening.id] = tun
+        self.ids.add(opening.id)
         if opening.at is not None:
             self._adopt(tun)
             return tun
@@ -224,13 +223,13 @@
         tunnel = self.tunnels.get(tun)
         if tunnel is None or tunnel.over:
             return
-        left = tunnel.began + ADOPT_WITHIN - self.clock()
+        age = self.clock() - tunnel.began
         ep = self.eps.get(tunnel.opening.at)
-        if left <= 0:
+        if age >= ADOPT_WITHIN:
             self.close_with_error(tun)
         elif ep in self.addresses:
-            self._set_up(tun, ep, left, ADOPT_CONNECT_WITHIN)
-        elif self.heard or left < ADOPT_WITHIN - UNKNOWN_FOR:
+            self._set_up(tun, ep, ADOPT_WITHIN - age, ADOPT_CONNECT_WITHIN)
+        elif self.heard or age > UNKNOWN_FOR:
             # Nobody has such a backend. It may only be new since this relay's list was made.
             self.close_with_error(tun)
         else:
@@ -359,7 +358,7 @@
 
     def _free(self, tun: int) -> None:
         """The one place where a tunnel's slot and its id are given back."""
-        del self.ids[self.tunnels.get(tun).opening.id]
+        self.ids.remove(self.tunnels.get(tun).opening.id)
         self.tunnels.give_back(tun)
 
     # -- a new configuration -----------------------------------------------------------------------
@@ -385,9 +384,10 @@
         logger.info("stops within {} ms: {} tunnels", self.stop_within // MS, self.tunnels.used)
         # Relays are restarted one after the other. Where another's clients have just come here it is not back
         # yet, and who is moved now finds nobody, then all come at once: they stay for as long as they can.
-        refugees = self.refugees.read(self.clock())
-        wait = int(LATE * self.stop_within) if refugees > REFUGEES * self.tunnels.used else 0
-        within = self.stop_within + KILL_LATER - wait if wait else self.stop_within * 2 // 3
+        wait, within = 0, self.stop_within * 2 // 3
+        if self.refugees.read(self.clock()) > REFUGEES * self.tunnels.used:
+            wait = int(LATE * self.stop_within)
+            within = self.stop_within + KILL_LATER - wait
         self.deadlines.after(wait, self._tell, self.balancer.stopping, within)
         self.deadlines.after(STOP_LOOK, self._end_if_empty, self.clock() + NEWCOMERS_FOR)
         self.deadlines.after(self.stop_within + KILL_LATER, self._answer_all)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -369,6 +369,10 @@
         except ConnectionResetError:
             return "reset"
 
+    def close(self) -> None:
+        self.file.close()
+        self.link.close()
+
     def open(self, key: str = "k", names: str = "c=feed,d=1500,g=g1") -> str:
         self.id = f"{next(IDS):016x}"
         return self.say(f"OPEN {self.id} {key} {names}")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -76,8 +76,7 @@
         # Those two's ends come a little later on the other side.
         until(lambda: len(backend.ends) == 2)
         backend.ends.clear()
-        clients[2].file.close()
-        clients[2].link.close()
+        clients[2].close()
         until(lambda: backend.ends == ["ended"])
         reset(clients[3].link, clients[3].file)
         until(lambda: backend.ends == ["ended", "reset"])
@@ -238,8 +237,7 @@
             answers = [client.open(str(number)) for number, client in enumerate(clients)]
             assert 40 < answers.count("UP r") < 90 and set(answers) == {"UP r", "BUSY"}
             for client in clients:
-                client.file.close()
-                client.link.close()
+                client.close()
             time.sleep(0.3)
         assert relay.client().open() == "UP r"
 
@@ -254,8 +252,7 @@
         assert again.say(line) == "ERR" and first.hear() == "UP r"
         assert relay.client().say(line) == "ERR"
         assert first.say("M 1") == "M 1", "the first of the id is left in peace"
-        first.file.close()
-        first.link.close()
+        first.close()
         until(lambda: "ended" in backends[0].ends + backends[1].ends)
         assert relay.client().say(line + ",again=1") == "UP r"
 
@@ -377,7 +374,8 @@
     path = tmp_path / "told.json"
     good = ('{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
             '"limits":{"sockets":900},"known":{"revision":0,"members":[]},"settings":{}}')
-    for text in ("", "{}", "[]", good, good.replace('"127.0.0.1:9"', '"nowhere"', 1)):
+    for text in ("", "{}", "[]", good, good.replace('"127.0.0.1:9"', '"nowhere"', 1),
+                 good.replace('"members":[]', '"members":5')):
         path.write_text(text)
         run = subprocess.run([sys.executable, "-m", "cedarledge"], env={"BALANCER_CONFIG": str(path)},
                              capture_output=True, timeout=20, check=False, text=True)
