A discovery whose revisions go back is asked with a pause, and from the start

Need: an answer at once with an older revision made the relay ask again at once, as fast as both could, and one given twice would have been taken for the answer to a later call. Change: what tells nothing newer before its wait is over is out of step: unless it is the whole list it is not applied, and the whole list is asked for on a new connection after 150 ms, within the pause that a watch bears.

--- a/cedarledge/net/deadlines.py
+++ b/cedarledge/net/deadlines.py
@@ -46,6 +46,10 @@
         self._armed: IDelayedCall | None = None
         self._armed_at = 0
 
+    def now(self) -> int:
+        """The time that deadlines are counted by."""
+        return self._clock()
+
     def after(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
         deadline = Deadline(self._clock() + max(0, delay), next(self._orders), call, args)
         heappush(self._heap, deadline)
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -25,6 +25,8 @@
 # How long past its wait a call may take: the answer stands in turn there. A whole list has no wait, and
 # discovery may keep a call in turn for some seconds before it fails it.
 PATIENCE, WHOLE_WITHIN = SECOND, 4 * SECOND
+# Before what told nothing new is asked again. Discovery bears 200 ms between the calls of a watch.
+PAUSE = 150 * MS
 
 
 class HttpError(Exception):
@@ -221,6 +223,7 @@
         self._link: DiscoveryLink | None = None
         self._call: Deferred | None = None
         self._due: Deadline | None = None
+        self._asked_at = 0
 
     def start(self) -> None:
         if self._call is None:
@@ -243,6 +246,7 @@
         self._drop()
 
     def _ask(self) -> None:
+        self._asked_at = self._deadlines.now()
         within = WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE
         self._due = self._deadlines.after(within, self._hung)
         if self._link is None:
@@ -268,14 +272,27 @@
         try:
             news = json.loads(answer.body)
             revision, whole, members = int(news["revision"]), bool(news["complete"]), list(news["members"])
-            self._told(whole, members)
+            newer = self._revision is None or revision > self._revision
+            if newer or whole:
+                self._told(whole, members)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
             raise HttpError(f"not a list: {why!r}") from why
-        self._revision = revision
-        if answer.closes:
-            self._drop()
         self._deadlines.cancel(self._due)
-        self._ask()
+        early = self._deadlines.now() - self._asked_at < self._wait // 2
+        if newer or not (members or early):
+            self._revision = revision
+            if answer.closes:
+                self._drop()
+            self._ask()
+            return
+        # Nothing newer, and not for want of news: a revision that went back, or an answer given twice,
+        # behind which every later one would come a call late, and drains with it. What holds is asked for
+        # from the start, on a connection where no other answer is on its way; with a pause, or the two would
+        # go round as fast as they can.
+        logger.warning("discovery: revision {} after {}: out of step", revision, self._revision)
+        self._revision = revision if whole else None
+        self._drop()
+        self._due = self._deadlines.after(PAUSE, self._ask)
 
     def _lost(self, why: Failure) -> None:
         if self._call is None:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -13,7 +13,7 @@
 import sys
 import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from itertools import count
 from pathlib import Path
@@ -322,6 +322,8 @@
         self.calls: list[tuple[float, str]] = []
         self.answered: list[float] = []
         self.broken: bytes | None = None  # said in place of the next answers
+        self.back = 0  # how far the revisions that it tells have gone back
+        self.twice = False  # every answer is said twice
         self.changed = threading.Condition()
         super().__init__()
 
@@ -343,9 +345,9 @@
                 if self.broken is None:
                     self.changed.wait_for(lambda since=since: self.revision > since, wait / 1000)
                 news = self.members if not asked else self.changes if self.revision > since else []
-                told = {"revision": self.revision, "complete": not asked, "members": news}
+                told = {"revision": self.revision - self.back, "complete": not asked, "members": news}
             self.answered.append(time.monotonic())
-            link.sendall(self.broken or http(json.dumps(told).encode()))
+            link.sendall((self.broken or http(json.dumps(told).encode())) * (1 + self.twice))
 
 
 IDS = count(1)
@@ -381,8 +383,10 @@
 class Program:
     """The relay, started as a program."""
 
-    def __init__(self, tmp: Path, backends: list[Backend], **other: object) -> None:
+    def __init__(self, tmp: Path, backends: list[Backend], arguments: Sequence[str] = (),
+                 **other: object) -> None:
         self.backends = backends
+        self.arguments = arguments
         self.discovery = Discovery([backend.entry() for backend in backends])
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
@@ -397,7 +401,8 @@
         self.start()
 
     def start(self) -> None:
-        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge"], stderr=self.log.open("ab"),
+        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge", *self.arguments],
+                                        stderr=self.log.open("ab"),
                                         env=os.environ | {"BALANCER_CONFIG": str(self.path)})
 
     def __enter__(self) -> Program:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from helpers import Backend, Discovery, Program, http, reset, until
+from pytest import mark
 
 
 def test_a_tunnel_from_its_first_line_to_its_end(tmp_path: Path) -> None:
@@ -144,6 +145,31 @@
         assert relay.client().open() == "UP r" and late.heads and not backend.heads
 
 
+@mark.parametrize("lie", [{"back": 3}, {"twice": True}])
+def test_a_discovery_that_is_out_of_step_is_followed_without_a_rush_of_calls(
+        lie: dict[str, int], tmp_path: Path) -> None:
+    backends = [Backend("s-a"), Backend("s-b")]
+    with Program(tmp_path, backends) as program:
+        discovery = program.discovery
+        vars(discovery).update(lie)
+        until(lambda: discovery.calls)
+        for draining, left in (backends, backends[::-1]):
+            discovery.members = [draining.entry("draining"), left.entry()]
+            before, asked = len(left.heads), len(discovery.calls)
+            discovery.tell(*discovery.members)
+            time.sleep(0.5)
+            assert program.client().open(f"k{before}") == "UP r"
+            assert len(left.heads) == before + 1, "the drain is known"
+            assert len(discovery.calls) - asked < 16, "and discovery is not run down"
+        vars(discovery).update({"back": 0, "twice": False})
+        discovery.members = [backend.entry() for backend in backends]
+        discovery.tell(*discovery.members)
+        time.sleep(0.5)
+        asked = len(discovery.calls)
+        time.sleep(0.5)
+        assert len(discovery.calls) <= asked + 1, "in step again, a call waits for news"
+
+
 def test_bad_input_is_answered_closed_and_survived(tmp_path: Path) -> None:
     backends = [Backend(name) for name in "abcdef"]
     with Program(tmp_path, backends) as relay:
