--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -27,6 +27,7 @@
     ListForm,
     LoadReport,
     Outcome,
+    Outlook,
     SiteFacts,
     Standing,
 )
@@ -168,6 +169,7 @@
     def __init__(self, host: Host, facts: SiteFacts) -> None:
         self.host = host
         self.facts = facts
+        self.outlook = Outlook()
         self.chance = random.Random(facts.seed).random
         self.members: dict[int, Member] = {}
         self.cells: dict[int, list[Member]] = {}
@@ -230,12 +232,22 @@
             member.started, member.standing = entry.started, entry.standing
             if not member.credit_at:
                 member.credit, member.credit_at = self.chance(), now
+        self._rank()
+
+    def knows(self, now: int, outlook: Outlook) -> None:
+        """What other subsystems know beside the list has changed."""
+        self.outlook = outlook
+        self._rank()
+
+    def _rank(self) -> None:
+        ready = [member for member in self.members.values() if member.standing is Standing.READY]
+        # All aside is a slip that would close the site, so it is not followed.
+        offered = [member for member in ready if member.ep not in self.outlook.aside] or ready
         self.listing += 1
         self.cells = {}
-        for member in self.members.values():
-            if member.standing is Standing.READY:
-                self.cells.setdefault(member.cell, []).append(member)
-        self.ready = sum(len(cell) for cell in self.cells.values())
+        for member in offered:
+            self.cells.setdefault(member.cell, []).append(member)
+        self.ready = len(offered)
         self.fleet_until = 0
         for cell in self.cells.values():
             cell.sort(key=lambda member: (
--- /dev/null
+++ b/cedarledge/cli.py
@@ -0,0 +1,311 @@
+"""The command line. Without arguments the program is the relay and this file is not read: see __main__.
+
+Exit codes: 0 all well; 1 a rule broke, or a comparison could not be made; 2 bad usage or a file that can't
+be used; 3 the stand-ins ran late, so the run counts for nothing.
+"""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from cedarledge import __version__
+from cedarledge.operator.tables import BadFileError
+
+BROKEN, UNUSABLE, LATE = 1, 2, 3
+
+
+def _refuse(why: BadFileError) -> None:
+    for problem in why.problems:
+        click.echo(f"cedarledge: {problem}", err=True)
+    sys.exit(UNUSABLE)
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 110})
+@click.version_option(__version__, prog_name="cedarledge")
+def main() -> None:
+    """A balancer for long-lived connections, and a rig to try it on.
+
+    Without arguments it is the relay that BALANCER_CONFIG tells of. Exit codes: 0 all well; 1 a rule broke;
+    2 bad usage or a file that can't be used; 3 a run that counts for nothing, since the stand-ins ran late.
+
+    For completion in bash: eval "$(_CEDARLEDGE_COMPLETE=bash_source cedarledge)"; zsh and fish likewise.
+    """
+
+
+@main.command()
+@click.option("--file", "path", type=click.Path(dir_okay=False), help="Operator file (TOML); see `check`.")
+def relay(path: str | None) -> None:
+    """Run one relay, as BALANCER_CONFIG tells it to.
+
+    SIGTERM ends it: its clients are answered and moved first. SIGHUP reads BALANCER_CONFIG and the operator
+    file again.
+    """
+    from cedarledge.__main__ import start
+
+    sys.exit(start(path))
+
+
+@main.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--scenario", is_flag=True, help="Check a scenario of the rig in place of an operator file.")
+def check(file: str, scenario: bool) -> None:
+    """Tell all that is wrong in an operator FILE, each with its place."""
+    from cedarledge.operator.file import read_operator_file
+    from cedarledge.rig.scenario import load_scenario
+
+    try:
+        load_scenario(file) if scenario else read_operator_file(file)
+    except BadFileError as why:
+        _refuse(why)
+    click.echo(f"{file}: good")
+
+
+def _sizes(command: Callable[..., None]) -> Callable[..., None]:
+    for option in (
+        click.option("--relays", type=click.IntRange(1, 64), help="In place of the scenario's."),
+        click.option("--boxes", type=click.IntRange(1, 2000), help="In place of the scenario's."),
+        click.option("--rate", type=click.FloatRange(0.1), help="Newcomers a second."),
+        click.option("--seconds", type=click.FloatRange(4, 3600), help="Length of the run."),
+    ):
+        command = option(command)
+    return command
+
+
+@main.group()
+def rig() -> None:
+    """Try relays on a fleet of stand-ins, on this machine's loopback alone."""
+
+
+@rig.command("list")
+def list_scenarios() -> None:
+    """The scenarios that come with the program."""
+    from cedarledge.rig.scenario import load_scenario, shipped
+
+    for name in shipped():
+        scenario = load_scenario(name)
+        click.echo(f"{name:12} {scenario.title}: {scenario.about}")
+
+
+def _run(
+    scenario: Any,
+    plan: Any,
+    variant: Any,
+    progress: Any,
+    keep: str | None,
+    out: str | None,
+    report: str | None,
+) -> Any:
+    from cedarledge.rig.run import RunError, run_plan
+
+    try:
+        verdict = run_plan(plan, variant, progress, Path(keep) if keep else None)
+    except RunError as why:
+        click.echo(f"cedarledge: {why}", err=True)
+        sys.exit(LATE if "in time" in str(why) else BROKEN)
+    if out:
+        told = verdict.flat() | {"variant": variant.name}
+        Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(told), indent=1))
+    if report:
+        from cedarledge.rig.report import write_report
+
+        path = write_report(
+            Path(report),
+            f"{scenario.title} ({variant.name}, seed {plan.seed})",
+            scenario.about,
+            plan,
+            verdict,
+        )
+        click.echo(f"report: {path}")
+    return verdict
+
+
+def _leave(verdict: Any) -> None:
+    sys.exit(LATE if verdict.standins_late else 0 if verdict.holds else BROKEN)
+
+
+@rig.command()
+@click.argument("scenario")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@_sizes
+@click.option(
+    "--policy",
+    type=click.Choice(["cedarledge", "random", "fewest", "hash", "pass"]),
+    default="cedarledge",
+    show_default=True,
+    help="A baseline in the relays' place.",
+)
+@click.option("--file", "operator_file", type=click.Path(exists=True), help="Operator file for the relays.")
+@click.option("--checkout", type=click.Path(exists=True, file_okay=False), help="Relays of another checkout.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the figures there.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write a page with plots into this folder.")
+@click.option("--keep", type=click.Path(file_okay=False), help="Keep books and logs in this folder.")
+def run(
+    scenario: str,
+    seed: int,
+    relays: int | None,
+    boxes: int | None,
+    rate: float | None,
+    seconds: float | None,
+    policy: str,
+    operator_file: str | None,
+    checkout: str | None,
+    out: str | None,
+    report: str | None,
+    keep: str | None,
+) -> None:
+    """Run a SCENARIO, by name or file, and judge it."""
+    from cedarledge.rig.demo import LiveTable, summary
+    from cedarledge.rig.scenario import load_scenario
+    from cedarledge.rig.schedule import plan_of
+    from cedarledge.rig.variants import variant_of
+
+    try:
+        told = load_scenario(scenario)
+        variant = variant_of(policy, operator_file, checkout)
+    except BadFileError as why:
+        _refuse(why)
+    plan = plan_of(told, seed, relays=relays, boxes=boxes, rate=rate, seconds=seconds)
+    table = LiveTable(plan) if sys.stdout.isatty() else None
+    verdict = _run(told, plan, variant, table, keep, out, report)
+    click.echo(summary(verdict))
+    _leave(verdict)
+
+
+def _seeds(text: str) -> list[int]:
+    try:
+        low, dash, high = text.partition("-")
+        seeds = list(range(int(low), int(high if dash else low) + 1))
+    except ValueError:
+        seeds = []
+    if not seeds:
+        raise click.BadParameter(f"{text!r} is no span of seeds like 1-8")
+    return seeds
+
+
+def _arguments(what: str, scenario: str) -> list[str]:
+    """How one side of a comparison is run: a checkout, an operator file, a baseline, or a scenario."""
+    from cedarledge.rig.scenario import shipped
+    from cedarledge.rig.variants import BASELINES
+
+    if what in shipped():
+        return [what]
+    if what == "cedarledge":
+        return [scenario]
+    if what in BASELINES:
+        return [scenario, "--policy", what]
+    if Path(what).is_dir():
+        return [scenario, "--checkout", what]
+    if Path(what).is_file():
+        raw = Path(what).read_text()
+        return [what] if "title" in raw.split("[", 1)[0] else [scenario, "--file", what]
+    raise click.BadParameter(f"{what!r} is no scenario, baseline, file or checkout")
+
+
+@rig.command()
+@click.argument("a")
+@click.argument("b")
+@click.option(
+    "--scenario", default="slow", show_default=True, help="Where A and B are no scenarios themselves."
+)
+@click.option("--seeds", default="1-8", show_default=True, help="A span like 1-8; each makes a pair.")
+@_sizes
+@click.option(
+    "--jobs",
+    type=click.IntRange(1, 64),
+    default=1,
+    show_default=True,
+    help="Runs side by side; each wants three cores or so.",
+)
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the comparison there.")
+def compare(
+    a: str,
+    b: str,
+    scenario: str,
+    seeds: str,
+    relays: int | None,
+    boxes: int | None,
+    rate: float | None,
+    seconds: float | None,
+    jobs: int,
+    out: str | None,
+) -> None:
+    """Compare A with B, seed by seed: two scenarios, operator files, checkouts or baselines.
+
+    A baseline is random, fewest, hash or pass; cedarledge stands for the program itself.
+    """
+    from cedarledge.rig.compare import compare as pair_up
+    from cedarledge.rig.compare import run_all
+
+    sizes = [
+        text
+        for name, value in (
+            ("--relays", relays),
+            ("--boxes", boxes),
+            ("--rate", rate),
+            ("--seconds", seconds),
+        )
+        if value is not None
+        for text in (name, str(value))
+    ]
+    sides = [_arguments(what, scenario) for what in (a, b)]
+    numbers = _seeds(seeds)
+    lists = [[*side, "--seed", str(seed), *sizes] for seed in numbers for side in sides]
+    count = itertools.count(1)
+
+    def done() -> None:
+        if sys.stderr.isatty():
+            click.echo(f"\r{next(count)} of {len(lists)} runs", nl=False, err=True)
+
+    try:
+        told = run_all(lists, jobs, done)
+    except RuntimeError as why:
+        click.echo(f"\ncedarledge: {why}", err=True)
+        sys.exit(BROKEN)
+    if sys.stderr.isatty():
+        click.echo(err=True)
+    lines = pair_up(told[0::2], told[1::2])
+    click.echo(f"{'':18} {a[:14]:>14} {b[:14]:>14} {'B - A':>10}  95% interval")
+    for line in lines:
+        click.echo(
+            f"{line.figure:18} {line.a:14.4f} {line.b:14.4f} {line.difference:+10.4f}  "
+            f"[{line.low:+.4f}, {line.high:+.4f}]  {line.verdict}"
+        )
+    if out:
+        Path(out).write_text(
+            json.dumps(
+                {"a": a, "b": b, "seeds": numbers, "lines": [msgspec.to_builtins(line) for line in lines]},
+                indent=1,
+            )
+        )
+
+
+@main.command()
+@click.option("--seconds", type=click.FloatRange(12, 120), default=20.0, show_default=True)
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the figures there.")
+@click.option("--report", type=click.Path(file_okay=False), help="Write a page with plots into this folder.")
+def demo(seconds: float, seed: int, out: str | None, report: str | None) -> None:
+    """Watch a small fleet on this machine: two relays, a slow box, a drain and a killed relay."""
+    from cedarledge.rig.demo import LiveTable, summary
+    from cedarledge.rig.scenario import load_scenario
+    from cedarledge.rig.schedule import plan_of
+    from cedarledge.rig.variants import variant_of
+
+    told = load_scenario("demo")
+    plan = plan_of(told, seed, seconds=seconds)
+    click.echo(
+        f"{plan.relays} relays, {len(plan.boxes)} simulated boxes, about "
+        f"{plan.client_terms.standing} clients, for {seconds:g} s; on loopback, as process {os.getpid()}."
+    )
+    verdict = _run(told, plan, variant_of(), LiveTable(plan), None, out, report)
+    click.echo(summary(verdict))
+    _leave(verdict)
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -26,8 +26,11 @@
 ASK_AGAIN = 250 * MS
 
 
+ProbeOver = Callable[[int, bool, LoadReport], None]
+
+
 class Watcher(Protocol):
-    """Where the backends' side tells what comes of setups and probes."""
+    """Where the backends' side tells what comes of setups."""
 
     def may_send(self, tun: int, ep: int) -> bool: ...
     def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
@@ -35,7 +38,6 @@
     def garbled(self, tun: int) -> None: ...
     def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
                    abrupt: bool) -> None: ...
-    def probe_over(self, ep: int, answered: bool, report: LoadReport) -> None: ...
 
 
 def read_report(text: bytes, reader: ReportReader) -> LoadReport | None:
@@ -219,7 +221,7 @@
         if slower > 1 and report.asked is not None:
             # The report is older than what the probe itself has met.
             report = report._replace(asked=report.asked * slower)
-        self.backends.watcher.probe_over(self.ep, word == b"PONG", report)
+        self.backends.probe_over(self.ep, word == b"PONG", report)
 
     def _idle(self) -> None:
         self.backends.forget(self)
@@ -229,16 +231,18 @@
         self.backends.forget(self)
         if self.out:
             self.out = self.again = False
-            self.backends.watcher.probe_over(self.ep, False, LoadReport())
+            self.backends.probe_over(self.ep, False, LoadReport())
 
 
 class Backends:
     """Opens setups and probes, and knows the probe connections that are kept."""
 
-    def __init__(self, means: Means, watcher: Watcher, reader: ReportReader, paces: Paces,
-                 connect_within: int, probe_within: int, idle_within: int, probe_word: bytes) -> None:
+    def __init__(self, means: Means, watcher: Watcher, probe_over: ProbeOver, reader: ReportReader,
+                 paces: Paces, connect_within: int, probe_within: int, idle_within: int,
+                 probe_word: bytes) -> None:
         self.means = means
         self.watcher = watcher
+        self.probe_over = probe_over
         self.reader = reader
         self.paces = paces
         self.connect_within = connect_within
@@ -265,7 +269,7 @@
             except FullError:
                 # Told later, as the module is in the midst of asking, and as no news: the want of a slot is
                 # this relay's, and the backend may not be called busy for it.
-                self.means.deadlines.after(0, self.watcher.probe_over, ep, True, LoadReport())
+                self.means.deadlines.after(0, self.probe_over, ep, True, LoadReport())
                 return
         link.ask()
 
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import re
-from typing import Any, NamedTuple, Protocol
+from typing import Any, NamedTuple
 
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
@@ -11,6 +11,7 @@
 from cedarledge.net.config import Address
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
+from cedarledge.net.seams import Taker
 from cedarledge.terms import MS
 
 # How long a connection may stand without a whole OPEN: who can't be dealt with is owed an end within 3 s.
@@ -82,14 +83,6 @@
         raise MalformedError(f"not a list of values: {why}") from why
 
 
-class Taker(Protocol):
-    """Where the clients' side takes what comes; tun is the handle that arrived gave."""
-
-    def arrived(self, client: ClientLink, opening: Opening) -> int: ...
-    def lines_on(self, tun: int, lines: list[bytes]) -> None: ...
-    def client_ended(self, tun: int, abrupt: bool) -> None: ...
-
-
 class ClientLink(Link):
     """One client's connection: first lines that are no tunnel yet, then the tunnel's client end."""
 
--- /dev/null
+++ b/cedarledge/net/eventlog.py
@@ -0,0 +1,60 @@
+"""A log line for each thing that happens, as far as the operator asks for it: event names and fields stay
+the same."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+from typing import Any
+
+from loguru import logger
+
+from cedarledge.net.seams import Hearer
+from cedarledge.terms import Listed, ListForm, LoadReport, Outcome
+
+
+class EventLog(Hearer):
+    """Names: tunnel.arrived, tunnel.setup, tunnel.opened, tunnel.setup_over, tunnel.answered, tunnel.moved,
+    tunnel.ended, list.changed, list.lost, box.probed. Durations are ns."""
+
+    def __init__(self, events: Collection[str], profiles: Sequence[str], boxes: Sequence[str]) -> None:
+        self._events = frozenset(events)
+        self._profiles = profiles
+        self._boxes = boxes  # grows with the list
+
+    def _say(self, sort: str, event: str, **fields: Any) -> None:
+        if sort in self._events:
+            logger.bind(event=event, **fields).info(
+                "{} {}", event, " ".join(f"{name}={value}" for name, value in fields.items()))
+
+    def arrived(self, now: int, tun: int, profile: int, returning: bool) -> None:
+        self._say("arrived", "tunnel.arrived", tunnel=tun, profile=self._profiles[profile],
+                  returning=returning)
+
+    def set_up(self, now: int, tun: int, ep: int, timeout: int) -> None:
+        self._say("setup", "tunnel.setup", tunnel=tun, backend=self._boxes[ep], timeout=timeout)
+
+    def opened(self, now: int, tun: int, ep: int, took: int) -> None:
+        self._say("opened", "tunnel.opened", tunnel=tun, backend=self._boxes[ep], took=took)
+
+    def setup_over(self, now: int, tun: int, ep: int, outcome: Outcome, took: int, was_open: bool) -> None:
+        self._say("setup", "tunnel.setup_over", tunnel=tun, backend=self._boxes[ep],
+                  outcome=outcome.name.lower(), took=took, was_open=was_open)
+
+    def answered(self, now: int, tun: int, declined: bool, took: int) -> None:
+        self._say("answered", "tunnel.answered", tunnel=tun,
+                  outcome="declined" if declined else "closed_with_error", took=took)
+
+    def moved(self, now: int, tun: int, ep: int) -> None:
+        self._say("moved", "tunnel.moved", tunnel=tun, backend=self._boxes[ep])
+
+    def ended(self, now: int, tun: int, took: int) -> None:
+        self._say("ended", "tunnel.ended", tunnel=tun, took=took)
+
+    def listed(self, now: int, form: ListForm, entries: list[Listed]) -> None:
+        if form is ListForm.UNAVAILABLE:
+            self._say("list", "list.lost")
+        else:
+            self._say("list", "list.changed", form=form.name.lower(), entries=len(entries))
+
+    def probed(self, now: int, ep: int, answered: bool, report: LoadReport) -> None:
+        self._say("probe", "box.probed", backend=self._boxes[ep], answered=answered, asked=report.asked)
--- /dev/null
+++ b/cedarledge/net/module.py
@@ -0,0 +1,77 @@
+"""The decision module in its place: every call to it is guarded, and what it wants done goes to who does
+it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+from cedarledge.choice import Balancer
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.terms import Outlook, SiteFacts
+
+if TYPE_CHECKING:
+    from cedarledge.net.backends import Backends
+    from cedarledge.net.boxlist import BoxList
+    from cedarledge.net.discovery import Watch
+    from cedarledge.net.tunnels import Tunnels
+
+MakeBalancer = Callable[["Module", SiteFacts], Balancer]
+
+
+class Module:
+    """The host of one Balancer (terms.Host), and the way by which everything reaches it."""
+
+    balancer: Balancer
+
+    def __init__(self, clock: Callable[[], int], deadlines: Deadlines) -> None:
+        self.clock = clock
+        self.deadlines = deadlines
+        self.outlook = Outlook()
+
+    def join(self, tunnels: Tunnels, backends: Backends, boxes: BoxList, watching: Watch) -> None:
+        self.tunnels = tunnels
+        self.backends = backends
+        self.boxes = boxes
+        self.watching = watching
+        # Sends and answers are a tunnel's business alone; they need no way through here.
+        self.send, self.decline = tunnels.send, tunnels.decline
+        self.close_with_error, self.move = tunnels.close_with_error, tunnels.move
+
+    def start(self, facts: SiteFacts, make: MakeBalancer = Balancer) -> None:
+        self.balancer = make(self, facts)
+
+    def tell(self, method: Callable[..., None], *args: Any) -> bool:
+        """Calls the module. A fault there costs one event, not the connections that this relay holds."""
+        try:
+            method(self.clock(), *args)
+        except Exception:
+            logger.exception("the decision module failed")
+            return False
+        return True
+
+    def knows(self, **known: Any) -> None:
+        """A subsystem's fields of the outlook have changed."""
+        outlook = self.outlook._replace(**known)
+        if outlook != self.outlook:
+            self.outlook = outlook
+            self.tell(self.balancer.knows, outlook)
+
+    # -- the rest of the host interface ------------------------------------------------------------
+
+    def probe(self, ep: int) -> None:
+        self.backends.probe(ep, self.boxes.addresses[ep])
+
+    def wake(self, delay: int, token: int) -> None:
+        self.deadlines.after(delay, self._woke, token)
+
+    def _woke(self, token: int) -> None:
+        self.tell(self.balancer.woke, token)
+
+    def watch(self) -> None:
+        self.watching.start()
+
+    def log(self, text: str) -> None:
+        logger.info("{}", text)
--- /dev/null
+++ b/cedarledge/net/tunnels.py
@@ -0,0 +1,318 @@
+"""Tunnels: their table, and the life of each from a front's word to the slot given back."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+
+from loguru import logger
+
+from cedarledge.choice import Fading
+from cedarledge.net.backends import Backends, SetupLink
+from cedarledge.net.boxlist import BoxList
+from cedarledge.net.clients import Opening
+from cedarledge.net.echoes import Echo, Echoes
+from cedarledge.net.hearers import Hearers
+from cedarledge.net.lines import figure
+from cedarledge.net.links import Means
+from cedarledge.net.module import Module
+from cedarledge.net.seams import ClientEnd
+from cedarledge.net.slots import FullError, Slots
+from cedarledge.terms import MS, SECOND, LoadReport, Outcome
+
+# A client that would wait for so many times its profile's client timeout is none of ours.
+LONGER = 2
+# The way back of an answer is part of the client's wait.
+WAY_BACK = 5 * MS
+# Connections that were open before the run must be up again within 40 s of its start.
+ADOPT_WITHIN, ADOPT_CONNECT_WITHIN, ADOPT_AGAIN = 38 * SECOND, 4 * SECOND, 250 * MS
+UNKNOWN_FOR = 2 * SECOND
+# Clients that came from another relay of late, by a sum that fades within seconds.
+LATELY = 4 * SECOND
+
+
+class Tunnel:
+    """A client's request and what it holds; its slot is given back in Tunnels._free."""
+
+    __slots__ = ("began", "client", "echo", "known", "opening", "over", "profile", "setup", "tenant", "up")
+
+    def __init__(self, client: ClientEnd, opening: Opening, profile: int, tenant: int | None,
+                 began: int) -> None:
+        self.client = client
+        self.opening = opening
+        self.profile = profile
+        self.tenant = tenant
+        self.began = began
+        self.setup: SetupLink | None = None
+        self.echo: Echo | None = None
+        self.known = False  # to the decision module
+        self.up = self.over = False
+
+
+class Tunnels:
+    """All tunnels of a relay, whatever front they came by: a seams.Taker for the clients' side, a
+    backends.Watcher for the other."""
+
+    backends: Backends
+    echoes: Echoes
+
+    def __init__(self, means: Means, module: Module, boxes: BoxList, hearers: Hearers, most: int,
+                 profiles: Mapping[str, int], tenants: Mapping[str, int], waits: Sequence[int],
+                 connect_within: int) -> None:
+        self.means = means
+        self.clock = means.clock
+        self.deadlines = means.deadlines
+        self.module = module
+        self.boxes = boxes
+        self.hearers = hearers
+        self.table: Slots[Tunnel] = Slots(most)
+        self.ids: set[str] = set()  # of all tunnels here, as their clients named them
+        self.profiles = profiles
+        self.tenants = tenants
+        self.waits = waits
+        self.connect_within = connect_within
+        self.begun = False  # somebody has come who was not open before the run
+        # Clients that came back here less those that were sent away from here: more come than go while
+        # another relay is down, and about as many where a backend is.
+        self.refugees = Fading(LATELY)
+
+    def join(self, backends: Backends, echoes: Echoes) -> None:
+        self.backends = backends
+        self.echoes = echoes
+
+    # -- what the module has done ------------------------------------------------------------------
+
+    def send(self, tun: int, ep: int, timeout: int) -> None:
+        self._set_up(tun, ep, timeout, self.connect_within)
+        self.hearers.tell("set_up", tun, ep, timeout)
+
+    def _set_up(self, tun: int, ep: int, timeout: int, connect_within: int) -> None:
+        tunnel = self.table.get(tun)
+        try:
+            tunnel.setup = self.backends.set_up(tun, ep, self.boxes.addresses[ep], tunnel.opening.head,
+                                                timeout, connect_within)
+        except FullError:
+            self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+
+    def decline(self, tun: int, come_back: int) -> None:
+        self.table.get(tun).client.decline(come_back)
+        self._answered(tun, True)
+
+    def close_with_error(self, tun: int) -> None:
+        self.table.get(tun).client.fail()
+        self._answered(tun, False)
+
+    def move(self, tun: int) -> None:
+        tunnel = self.table.get(tun)
+        if tunnel is None or tunnel.over or not tunnel.up:
+            return
+        setup = tunnel.setup
+        logger.debug("tunnel {} is moved off {}", tun, self.boxes.eps.names[setup.ep])
+        self.refugees.add(self.clock(), -1)
+        self._part(tunnel)
+        tunnel.client.move()
+        setup.call_off()
+        self.hearers.tell("moved", tun, setup.ep)
+        # The module is in the midst of moving, so it hears of the end afterwards.
+        self.deadlines.after(0, self._moved, tun, setup.ep, self.clock() - setup.began)
+
+    # -- what the clients' side tells --------------------------------------------------------------
+
+    def arrived(self, client: ClientEnd, opening: Opening) -> int:
+        try:
+            profile = self.profiles[opening.profile]
+            tenant = None if opening.tenant is None else self.tenants[opening.tenant]
+        except KeyError as why:
+            client.bad_input(f"nothing is called {why}")
+            return -1
+        if opening.at is None and opening.wait > LONGER * self.waits[profile]:
+            client.bad_input(f"{opening.profile} does not wait for {opening.wait // MS} ms")
+            return -1
+        if opening.id in self.ids:
+            # Two of one id would be told apart by nobody behind this relay, and the first is the one served.
+            client.bad_input(f"{opening.id[:40]} is open already")
+            return -1
+        tunnel = Tunnel(client, opening, profile, tenant, self.clock())
+        try:
+            tun = self.table.take(tunnel)
+        except FullError:
+            self.means.complaints.about("client", "no slot is left for a tunnel")
+            client.decline(0)
+            return -1
+        self.ids.add(opening.id)
+        self.hearers.tell("arrived", tun, profile, opening.returning)
+        if opening.at is not None:
+            self._adopt(tun)
+            return tun
+        tunnel.known = self.begun = True
+        if opening.returning:
+            self.refugees.add(self.clock(), 1)
+        if not self.module.tell(self.module.balancer.tunnel_arrived, tun, profile, tenant, opening.key,
+                                opening.group, max(MS, opening.wait - WAY_BACK), opening.hint,
+                                opening.returning):
+            self.abandon(tun)
+        return tun
+
+    def lines_on(self, tun: int, lines: list[bytes]) -> None:
+        tunnel = self.table.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        tunnel.setup.send_lines(lines)
+        tunnel.echo.asked()
+
+    def client_ended(self, tun: int, abrupt: bool) -> None:
+        tunnel = self.table.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        setup, was_up = tunnel.setup, tunnel.up
+        self._part(tunnel)
+        if tunnel.known and not was_up:
+            self.module.tell(self.module.balancer.client_gone, tun)
+        if setup is not None:
+            setup.call_off(abrupt)
+            if tunnel.known:
+                outcome = Outcome.CANCELLED if setup.written else Outcome.NOT_SENT
+                self.module.tell(self.module.balancer.setup_ended, tun, setup.ep, True, outcome,
+                                 self.clock() - setup.began, None)
+        self._free(tun)
+
+    # -- a connection that was open before ---------------------------------------------------------
+
+    def _adopt(self, tun: int) -> None:
+        """Brings up a connection that was open before, at its own backend and no other."""
+        tunnel = self.table.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        age = self.clock() - tunnel.began
+        ep = self.boxes.eps.get(tunnel.opening.at)
+        if age >= ADOPT_WITHIN:
+            self.close_with_error(tun)
+        elif ep in self.boxes.addresses:
+            self._set_up(tun, ep, ADOPT_WITHIN - age, ADOPT_CONNECT_WITHIN)
+        elif self.boxes.heard or age > UNKNOWN_FOR:
+            # Nobody has such a backend. It may only be new since this relay's list was made.
+            self.close_with_error(tun)
+        else:
+            self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+
+    # -- what the backends' side tells -------------------------------------------------------------
+
+    def may_send(self, tun: int, ep: int) -> bool:
+        """Nothing new goes to a backend that drains; what was open there before goes nowhere else."""
+        tunnel = self.table.get(tun)
+        return tunnel is not None and (ep in self.boxes.ready or not tunnel.known)
+
+    def setup_up(self, tun: int, line: bytes, took: int) -> None:
+        tunnel = self.table.get(tun)
+        logger.debug("tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep],
+                     took // MS)
+        tunnel.up = True
+        setup, client = tunnel.setup, tunnel.client
+        tunnel.echo = Echo(self.echoes, tun, setup.ep)
+        client.opened(line)
+        # A side that reads slowly holds up the other one's reading, not this relay's memory.
+        client.transport.registerProducer(setup.transport, True)
+        setup.transport.registerProducer(client.transport, True)
+        if tunnel.known:
+            self.module.tell(self.module.balancer.opened, tun, took)
+        else:
+            opening = tunnel.opening
+            tunnel.known = True
+            self.module.tell(self.module.balancer.adopted, tun, tunnel.profile, tunnel.tenant, opening.key,
+                             opening.group, setup.ep, opening.hint)
+        self.hearers.tell("opened", tun, setup.ep, took)
+
+    def lines_back(self, tun: int, lines: list[bytes]) -> None:
+        tunnel = self.table.get(tun)
+        if tunnel is None or tunnel.over:
+            return
+        tunnel.client.send_lines(lines)
+        for line in lines:
+            if not line.startswith(b"LOAD "):
+                tunnel.echo.answered()
+                continue
+            try:
+                load = figure(line[5:].decode("ascii"))
+            except ValueError:
+                self.means.complaints.about("backend", f"no load: {line[:80]!r}")
+                continue
+            self.module.tell(self.module.balancer.load_told, tun, load)
+
+    def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
+                   abrupt: bool) -> None:
+        tunnel = self.table.get(tun)
+        if tunnel is None:
+            return
+        logger.debug("tunnel {} at {}: {} after {} ms, up {}", tun, self.boxes.eps.names[ep], outcome.name,
+                     took // MS, tunnel.up)
+        was_open = tunnel.up
+        self._part(tunnel, over=was_open)
+        self.hearers.tell("setup_over", tun, ep, outcome, took, was_open)
+        if was_open:
+            if outcome is not Outcome.DONE:
+                self.refugees.add(self.clock(), -1)
+            if abrupt and outcome is Outcome.RESET:
+                tunnel.client.abort()
+            else:
+                tunnel.client.finish()
+        if not tunnel.known:
+            # Where others have come already the run has begun, which it does not while one of these waits:
+            # only a stranger asks now, and is not to hold a slot and press a backend for as long.
+            if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT) and not self.begun:
+                self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+            else:
+                self.close_with_error(tun)
+            return
+        if not self.module.tell(self.module.balancer.setup_ended, tun, ep, was_open, outcome, took, report):
+            self.abandon(tun)
+        if was_open:
+            self._free(tun)
+
+    def garbled(self, tun: int) -> None:
+        """Its backend's lines can't be passed on, so the client is better off elsewhere."""
+        self.move(tun)
+
+    def silent(self, tun: int) -> None:
+        logger.info("tunnel {} is silent", tun)
+        self.module.tell(self.module.balancer.silent, tun)
+
+    # -- the end of a tunnel -----------------------------------------------------------------------
+
+    def _moved(self, tun: int, ep: int, took: int) -> None:
+        self.module.tell(self.module.balancer.setup_ended, tun, ep, True, Outcome.CANCELLED, took, None)
+        self._free(tun)
+
+    def _part(self, tunnel: Tunnel, over: bool = True) -> None:
+        """The tunnel lets go of its setup, and with over of all else but its slot."""
+        tunnel.setup = None
+        tunnel.over = tunnel.over or over
+        if over and tunnel.echo is not None:
+            tunnel.echo.close()
+
+    def _answered(self, tun: int, declined: bool) -> None:
+        """The final answer is out. The module gives it only when no setup is."""
+        tunnel = self.table.get(tun)
+        self._part(tunnel)
+        self.hearers.tell("answered", tun, declined, self.clock() - tunnel.began)
+        self._free(tun)
+
+    def abandon(self, tun: int) -> None:
+        """The module failed on this tunnel: its client still gets an answer."""
+        tunnel = self.table.get(tun)
+        if tunnel is not None and not tunnel.over:
+            self.client_ended(tun, abrupt=False)
+            tunnel.client.fail()
+
+    def end_all(self) -> None:
+        """What is still held would be cut off, so it gets its answer or its MOVE."""
+        for tun in self.table.handles():
+            if self.table.get(tun).up:
+                self.move(tun)
+            else:
+                self.abandon(tun)
+
+    def _free(self, tun: int) -> None:
+        """The one place where a tunnel's slot and its id are given back."""
+        tunnel = self.table.get(tun)
+        self.hearers.tell("ended", tun, self.clock() - tunnel.began)
+        self.ids.remove(tunnel.opening.id)
+        self.table.give_back(tun)
--- /dev/null
+++ b/cedarledge/operator/__init__.py
@@ -0,0 +1,1 @@
+"""What operators write: the file of settings, checked into values."""
--- /dev/null
+++ b/cedarledge/rig/schedule.py
@@ -0,0 +1,357 @@
+"""Makes a plan of a scenario: sizes, boxes, and what happens when. A function of its arguments and the seed
+alone."""
+
+from __future__ import annotations
+
+import math
+import random
+from typing import Any
+
+from cedarledge.rig.scenario import RESTARTS, BoxKind, Fault, Scenario
+from cedarledge.standins.plan import Act, BoxPlan, BoxTerms, ClientTerms, Plan, ProfilePlan
+from cedarledge.terms import MS, SECOND
+
+# How late discovery tells of a box that died, and of one that is there again.
+DEATH_TOLD, START_TOLD = (0.9, 3.0), (0.24, 1.7)
+# A drain is told before the box itself turns anybody away.
+DRAIN_AHEAD = 0.4
+# Of the boxes of a rolling drain, how far apart they begin, as a part of the fault's length.
+ROLL_PART = 0.6
+LIES = (2, 3, 4)
+
+
+def ns(seconds: float) -> int:
+    return int(seconds * SECOND)
+
+
+def plan_of(
+    scenario: Scenario,
+    seed: int,
+    *,
+    relays: int | None = None,
+    boxes: int | None = None,
+    rate: float | None = None,
+    seconds: float | None = None,
+) -> Plan:
+    """The plan of one run. The sizes given go before the scenario's; faults keep their times."""
+    chance = random.Random(seed)
+    relays = relays or scenario.relays
+    count = boxes or scenario.boxes
+    rate = rate or scenario.rate
+    length = seconds or scenario.seconds
+    grown = sum(math.ceil(fault.share * count) for fault in scenario.fault if fault.kind == "grow")
+    table = _boxes(scenario, count, grown, chance)
+    standing = int(rate * scenario.life)
+    strength = sum(box.cores * box.speed for box in table if box.at_start)
+    weight = sum(row.share * row.weight for row in scenario.profile) / sum(
+        row.share for row in scenario.profile
+    )
+    one = scenario.load * strength / max(1, standing) / weight
+    total = sum(row.share for row in scenario.profile)
+    profiles = tuple(
+        ProfilePlan(
+            row.name,
+            row.share / total,
+            row.effect,
+            row.group,
+            ns(row.window),
+            ns(row.setup_goal),
+            ns(row.client_timeout),
+            ns(row.message_goal),
+            row.credit,
+            one * row.weight,
+        )
+        for row in scenario.profile
+    )
+    box = scenario.box
+    terms = BoxTerms(
+        message=int(box.message_ms * MS),
+        setup=int(box.setup_ms * MS),
+        round_trip=int(box.round_trip_ms * MS),
+        queue=ns(box.queue_s),
+        refresh=ns(box.refresh_s),
+        behind=ns(box.behind_s),
+        cold_from=box.cold_from,
+        warm_within=ns(box.warm_within_s),
+        fall_multiple=box.fall_multiple,
+        fall_span=ns(box.fall_span_s),
+        fallen_for=ns(box.fallen_for_s),
+        move_after=ns(box.move_after_s),
+    )
+    clients = ClientTerms(
+        rate=rate,
+        standing=standing,
+        ramp=ns(min(3.0, scenario.warm_up / 2 or 1.0)),
+        life=ns(scenario.life),
+        line_every=ns(scenario.clients.line_every),
+        retries=scenario.clients.retries,
+        backoff=ns(scenario.clients.backoff),
+        come_back=ns(scenario.clients.come_back),
+        keys=scenario.clients.keys,
+        front_every=ns(0.5),
+        front_after=ns(1.6),
+    )
+    schedule = Schedule(chance, table, relays, length)
+    for fault in scenario.fault:
+        if fault.start < length:
+            schedule.add(fault)
+    acts = tuple(sorted(schedule.acts, key=lambda act: (act.at, act.who, act.which, act.what)))
+    spans = tuple(
+        (fault.kind, fault.start, min(length, fault.start + fault.length))
+        for fault in scenario.fault
+        if fault.start < length
+    )
+    return Plan(
+        scenario.name,
+        seed,
+        length,
+        min(scenario.warm_up, length / 2),
+        relays,
+        table,
+        profiles,
+        terms,
+        clients,
+        acts,
+        spans,
+        ns(scenario.drain_grace),
+        scenario.sockets,
+        512,
+        told_settings(scenario, relays),
+    )
+
+
+def _boxes(scenario: Scenario, count: int, grown: int, chance: random.Random) -> tuple[BoxPlan, ...]:
+    kinds = scenario.box.kind
+    cells = max(1, count // scenario.box.per_cell)
+    table = []
+    for index in range(count + grown):
+        kind: BoxKind = chance.choices(kinds, [kind.share for kind in kinds])[0]
+        speed = kind.speed * (1 + kind.spread * (2 * chance.random() - 1))
+        table.append(
+            BoxPlan(
+                f"s-{chance.getrandbits(32):08x}",
+                index % cells,
+                f"zone-{index % scenario.box.zones + 1}",
+                kind.name,
+                kind.cores,
+                speed,
+                kind.cap,
+                index < count,
+            )
+        )
+    return tuple(table)
+
+
+def told_settings(scenario: Scenario, relays: int) -> dict[str, Any]:
+    """What a relay is told of the site, in the form of the platform's configuration; times in us."""
+    box = scenario.box
+    return {
+        "me": 0,
+        "group_size": relays,
+        "dcs": [f"zone-{zone + 1}" for zone in range(box.zones)],
+        "zone": "zone-1",
+        "host_types": [kind.name for kind in box.kind],
+        "weight_kind": "off",
+        "service_type": "conn",
+        "membership_mode": "ask",
+        "allowed": {
+            "most_setups": 6,
+            "probes": scenario.probes,
+            "connect_timeout": 150_000,
+            "conn_idle": 15_000_000,
+        },
+        "safety": {
+            "ask_every": 10_000_000,
+            "cold_from": box.cold_from,
+            "drain_grace": int(scenario.drain_grace * 1e6),
+            "fall_multiple": box.fall_multiple,
+            "overload_for": int(box.fall_span_s * 1e6),
+            "warm_within": int(box.warm_within_s * 1e6),
+        },
+        "load_report": {"how": "on_probe", "columns": ["utilization", "recent_ms", "x0", "x1"]},
+        "profiles": [
+            {
+                "name": row.name,
+                "semantics": row.effect,
+                "group": row.group,
+                "credit": row.credit,
+                "window": int(row.window * 1e6),
+                "setup_goal": int(row.setup_goal * 1e6),
+                "client_timeout": int(row.client_timeout * 1e6),
+            }
+            for row in scenario.profile
+        ],
+        "domain": {
+            "message_aim": [int(row.message_goal * 1e6) for row in scenario.profile],
+            "tells_delay": True,
+            "groups": False,
+        },
+    }
+
+
+class Schedule:
+    """Turns faults into acts."""
+
+    def __init__(
+        self, chance: random.Random, table: tuple[BoxPlan, ...], relays: int, seconds: float
+    ) -> None:
+        self.chance = chance
+        self.relays = relays
+        self.seconds = seconds
+        self.acts: list[Act] = []
+        self.first = [index for index, box in enumerate(table) if box.at_start]
+        self.new = [index for index, box in enumerate(table) if not box.at_start]
+        # Boxes that a fault takes down or drains: another one of that sort finds its own.
+        self.restarted: set[int] = set()
+
+    def add(self, fault: Fault) -> None:
+        getattr(self, f"_{fault.kind}")(fault)
+
+    # -- helpers -----------------------------------------------------------------------------------
+
+    def _act(
+        self, at: float, who: str, what: str, which: int = -1, size: float = 0.0, relay: int = -1
+    ) -> None:
+        self.acts.append(Act(ns(at), who, what, which, size, relay))
+
+    def _some(self, fault: Fault) -> list[int]:
+        """The boxes it is about, at least one; never all at once for those that restart."""
+        free = [box for box in self.first if box not in self.restarted]
+        most = max(1, len(self.first) - len(self.restarted) - 1) if fault.kind in RESTARTS else len(free)
+        some = sorted(
+            self.chance.sample(free, min(len(free), most, max(1, round(fault.share * len(self.first)))))
+        )
+        if fault.kind in RESTARTS:
+            self.restarted.update(some)
+        return some
+
+    def _relays(self, share: float) -> list[int]:
+        return sorted(
+            self.chance.sample(range(self.relays), max(1, min(self.relays, round(share * self.relays))))
+        )
+
+    def _size(self, fault: Fault) -> float:
+        low, high = fault.size[0], fault.size[-1]
+        return low + (high - low) * self.chance.random()
+
+    def _spans(self, fault: Fault) -> list[tuple[float, float]]:
+        """When it is on."""
+        end = min(self.seconds + 1, fault.start + fault.length)
+        if not fault.period:
+            return [(fault.start, end)]
+        starts = [
+            fault.start + fault.period * number for number in range(math.ceil(fault.length / fault.period))
+        ]
+        return [(start, min(end, start + fault.period / 2)) for start in starts if start < end]
+
+    def _on_boxes(self, fault: Fault, what: str, on: float | None, off: float) -> None:
+        for box in self._some(fault):
+            size = self._size(fault) if on is None else on
+            for start, end in self._spans(fault):
+                self._act(start, "box", what, box, size)
+                self._act(end, "box", what, box, off)
+
+    def _between(self, span: tuple[float, float]) -> float:
+        return self.chance.uniform(*span)
+
+    def _starts(self, box: int, at: float, elsewhere: bool = False) -> None:
+        """It is there again, cold; discovery tells of it a little later."""
+        self._act(at, "box", "start", box, float(elsewhere))
+        self._act(at + self._between(START_TOLD), "list", "up", box, float(ns(at)), int(elsewhere))
+
+    # -- the kinds ---------------------------------------------------------------------------------
+
+    def _slow(self, fault: Fault) -> None:
+        self._on_boxes(fault, "slow", None, 1.0)
+
+    def _neighbour(self, fault: Fault) -> None:
+        self._on_boxes(fault, "neighbour", None, 0.0)
+
+    def _hang(self, fault: Fault) -> None:
+        self._on_boxes(fault, "hung", 1.0, 0.0)
+
+    def _errors(self, fault: Fault) -> None:
+        self._on_boxes(fault, "failing", 1.0, 0.0)
+
+    def _late_up(self, fault: Fault) -> None:
+        self._on_boxes(fault, "late_up", 1.0, 0.0)
+
+    def _frozen(self, fault: Fault) -> None:
+        self._on_boxes(fault, "frozen", 1.0, 0.0)
+
+    def _hot_key(self, fault: Fault) -> None:
+        for start, end in self._spans(fault):
+            self._act(start, "clients", "hot", size=self._size(fault))
+            self._act(end, "clients", "hot", size=0.0)
+
+    def _rude(self, fault: Fault) -> None:
+        self._act(fault.start, "clients", "rude", size=self._size(fault))
+        self._act(fault.start + fault.length, "clients", "rude", size=0.0)
+
+    def _storm(self, fault: Fault) -> None:
+        self._act(fault.start, "clients", "storm", size=fault.share)
+
+    def _crash(self, fault: Fault, elsewhere: bool = False) -> None:
+        for box in self._some(fault):
+            at = fault.start + self.chance.random() * 0.5
+            self._act(at, "box", "stop", box)
+            told = at + self._between(DEATH_TOLD)
+            if told < at + fault.length:
+                self._act(told, "list", "removed", box)
+            self._starts(box, at + fault.length, elsewhere)
+
+    def _elsewhere(self, fault: Fault) -> None:
+        self._crash(fault, elsewhere=True)
+
+    def _drain(self, fault: Fault) -> None:
+        """One box after the other is drained, ends, and comes back cold."""
+        boxes = self._some(fault)
+        apart = fault.length * ROLL_PART / len(boxes)
+        lasts = fault.length * (1 - ROLL_PART)
+        for number, box in enumerate(boxes):
+            at = fault.start + number * apart
+            self._act(at, "list", "draining", box)
+            self._act(at + DRAIN_AHEAD, "box", "drain", box)
+            self._act(at + lasts * 0.8, "box", "stop", box)
+            self._act(at + lasts * 0.8 + 0.1, "list", "removed", box)
+            self._starts(box, at + lasts)
+
+    def _grow(self, fault: Fault) -> None:
+        count = min(len(self.new), math.ceil(fault.share * len(self.first)))
+        some, self.new = self.new[:count], self.new[count:]
+        for box in some:
+            self._starts(box, fault.start + self.chance.random() * 0.3)
+
+    def _late_list(self, fault: Fault) -> None:
+        self._act(fault.start, "list", "late", size=float(ns(self._size(fault))))
+        self._act(fault.start + fault.length, "list", "late", size=0.0)
+
+    def _no_list(self, fault: Fault) -> None:
+        for start, end in self._spans(fault):
+            self._act(start, "list", "mode", size=1.0)
+            self._act(end, "list", "mode", size=0.0)
+
+    def _lying_list(self, fault: Fault) -> None:
+        """Revisions that go back, answers that come twice, answers that are cut: a part of the time each."""
+        part = fault.length / len(LIES)
+        for number, lie in enumerate(LIES):
+            self._act(fault.start + number * part, "list", "mode", size=float(lie))
+        self._act(fault.start + fault.length, "list", "mode", size=0.0)
+
+    def _partition(self, fault: Fault) -> None:
+        """What one relay sends does not reach some boxes."""
+        relay = self._relays(0.01)[0]
+        for box in self._some(fault):
+            for start, end in self._spans(fault):
+                self._act(start, "box", "cut", box, 1.0, relay)
+                self._act(end, "box", "cut", box, 0.0, relay)
+
+    def _kill(self, fault: Fault) -> None:
+        for relay in self._relays(fault.share):
+            self._act(fault.start, "relay", "kill", relay)
+            self._act(fault.start + fault.length, "relay", "start", relay)
+
+    def _roll(self, fault: Fault) -> None:
+        """All relays are stopped as planned and started again, one after the other."""
+        for relay in range(self.relays):
+            self._act(fault.start + fault.length * relay / self.relays, "relay", "stop", relay)
--- /dev/null
+++ b/cedarledge/rig/variants.py
@@ -0,0 +1,41 @@
+"""How the relays of a run are started: as they are, with an operator file, from a checkout, or as a
+baseline."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import msgspec
+
+from cedarledge.operator.tables import BadFileError
+
+BASELINES = ("random", "fewest", "hash", "pass")
+
+
+class Variant(msgspec.Struct, frozen=True):
+    """What a relay's process is."""
+
+    name: str
+    command: list[str]
+    cwd: str | None = None
+    env: dict[str, str] = {}
+
+
+def variant_of(
+    policy: str = "cedarledge", operator_file: str | None = None, checkout: str | None = None
+) -> Variant:
+    """Raises BadFileError for what is not there."""
+    if policy != "cedarledge":
+        return Variant(policy, [sys.executable, "-m", "cedarledge.rig.baselines", policy])
+    name, command, cwd = "cedarledge", [sys.executable, "-m", "cedarledge"], None
+    env: dict[str, str] = {}
+    if checkout is not None:
+        if not (Path(checkout) / "cedarledge" / "__main__.py").is_file():
+            raise BadFileError([f"{checkout}: not a checkout of cedarledge"])
+        name, cwd = Path(checkout).name, str(Path(checkout).resolve())
+        env = {"PYTHONPATH": cwd}
+    if operator_file is not None:
+        command += ["relay", "--file", str(Path(operator_file).resolve())]
+        name = Path(operator_file).stem
+    return Variant(name, command, cwd, env)
--- /dev/null
+++ b/cedarledge/standins/books.py
@@ -0,0 +1,170 @@
+"""What the stand-ins write down, each process in a book of its own; the judge reads them all.
+
+A book is a file of msgpack records, each behind its length. It is written as things happen, so that a process
+that dies leaves what it saw. Times are ns after the run's start.
+"""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import IO
+
+import msgspec
+
+
+class Setup(msgspec.Struct, tag=True, array_like=True):
+    """One setup as its box saw it, from the first byte of its line to the end of its connection."""
+
+    box: int
+    relay: int
+    tun: str
+    began: int
+    whole: int  # the line's last byte had come
+    word: str = ""  # how the box answered: UP, BUSY, ERR, or nothing
+    answered: int = -1
+    receipt: str = ""
+    ended: int = -1
+    by_box: bool = False  # the box ended it
+    lines: int = 0
+    gaps: int = 0  # lines that never came or came twice, out of their numbers
+    held: int = 0  # lines that were on their way for over a second
+
+
+class Call(msgspec.Struct, tag=True, array_like=True):
+    """One tunnel as its client saw it."""
+
+    tun: str
+    relay: int
+    profile: int
+    first: bool  # no retry, and no return of one that was moved
+    began: int  # the line was handed over
+    wait: int
+    word: str = ""  # UP, BUSY, ERR, CLOSED, GAVE_UP, UNREACHED, or whatever else came
+    answered: int = -1
+    receipt: str = ""
+    more: int = 0  # answers after the last one
+    ended: int = -1
+    how: str = ""  # an open one's end: MOVE, BYE, cut, left, over
+    lines: int = 0
+    gaps: int = 0
+    held: int = 0
+
+
+class Told(msgspec.Struct, tag=True, array_like=True):
+    """Discovery has written to a relay what became of a box."""
+
+    at: int
+    relay: int
+    box: int
+    phase: str
+    revision: int
+
+
+class Fell(msgspec.Struct, tag=True, array_like=True):
+    """A cold box was pushed over."""
+
+    at: int
+    box: int
+    asked: float
+
+
+class Alien(msgspec.Struct, tag=True, array_like=True):
+    """A box was sent what no usual client said."""
+
+    at: int
+    box: int
+    relay: int
+    line: str
+
+
+class Rude(msgspec.Struct, tag=True, array_like=True):
+    """One bad client: what it did, and how long until it had its error or its end; below 0: never."""
+
+    at: int
+    relay: int
+    kind: str
+    took: int
+    word: str
+
+
+class Second(msgspec.Struct, tag=True, array_like=True):
+    """One second of one profile's clients in one process: client seconds wanted, and served within the
+    goal."""
+
+    second: int
+    profile: int
+    wanted: float
+    served: float
+
+
+class BoxSecond(msgspec.Struct, tag=True, array_like=True):
+    """One second of one box."""
+
+    second: int
+    box: int
+    asked: float
+    held: int
+
+
+class Life(msgspec.Struct, tag=True, array_like=True):
+    """One process of a relay, from its start to its end."""
+
+    relay: int
+    began: int
+    ready: int | None  # first PONG
+    ended: int
+    how: str  # killed, stopped, crashed, over
+    code: int
+    cpu_ns: int
+    peak_kb: int
+
+
+class Late(msgspec.Struct, tag=True, array_like=True):
+    """How late a stand-in process itself ran at the worst: past a bound the run counts for nothing."""
+
+    who: str
+    worst: int
+    at: int
+
+
+Record = Setup | Call | Told | Fell | Alien | Rude | Second | BoxSecond | Life | Late
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Record)
+_LENGTH = struct.Struct("<I")
+
+
+class Book:
+    """Writes one process's records."""
+
+    def __init__(self, path: str | Path) -> None:
+        self._file: IO[bytes] = Path(path).open("wb", buffering=1 << 16)  # noqa: SIM115  closed in close
+
+    def write(self, record: Record) -> None:
+        data = _encoder.encode(record)
+        self._file.write(_LENGTH.pack(len(data)))
+        self._file.write(data)
+
+    def flush(self) -> None:
+        self._file.flush()
+
+    def close(self) -> None:
+        self._file.close()
+
+
+def read_book(path: str | Path) -> Iterator[Record]:
+    """The records of a book; one that was cut off at its end is read up to there."""
+    data = memoryview(Path(path).read_bytes())
+    at = 0
+    while at + _LENGTH.size <= len(data):
+        (length,) = _LENGTH.unpack_from(data, at)
+        at += _LENGTH.size
+        if at + length > len(data):
+            return
+        yield _decoder.decode(data[at : at + length])
+        at += length
+
+
+def read_books(paths: Iterable[str | Path]) -> list[Record]:
+    return [record for path in paths for record in read_book(path)]
--- /dev/null
+++ b/cedarledge/standins/judge.py
@@ -0,0 +1,375 @@
+"""Judges a run by the stand-ins' books alone: the rules, and the figures. No I/O, no clock, no word of a
+relay's.
+
+The rules are the platform's, with its 50 ms for the way. Where a relay was killed the tunnels that it held
+are their clients' to open again; where a stand-in ran late the run says so and counts for nothing.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from itertools import pairwise
+from typing import Any
+
+import msgspec
+
+from cedarledge.standins.books import (
+    Alien,
+    BoxSecond,
+    Call,
+    Fell,
+    Late,
+    Life,
+    Record,
+    Rude,
+    Second,
+    Setup,
+    Told,
+)
+from cedarledge.standins.plan import Plan
+from cedarledge.terms import MS, SECOND
+
+# By how much the limits on sockets are longer, for the way and the system.
+GRACE = 50 * MS
+# A bad client is owed its error or its end within this.
+TURNED_OUT = 3 * SECOND
+# Past this a stand-in's own lateness would be taken for the relay's.
+TOO_LATE = 150 * MS
+# What a killed relay's clients see may come this much before and after the moment noted.
+KILL_SLACK = 300 * MS
+# Words of a call that had no answer of a relay's.
+NO_ANSWER = frozenset(("CLOSED", "GAVE_UP", "UNREACHED", ""))
+RULES = (
+    "unanswered",
+    "answered_twice",
+    "answered_late",
+    "overlapping_setups",
+    "late_sends_after_drain",
+    "cold_pushed_over",
+    "cut_without_move",
+    "lines_lost",
+    "not_what_a_box_made",
+    "ran_twice",
+    "declined_after_run",
+    "bad_clients_served",
+    "bad_clients_held",
+    "crashed",
+)
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """One broken rule: which, when, and what was seen."""
+
+    rule: str
+    at: int
+    what: str
+
+
+class Verdict(msgspec.Struct):
+    """What came of a run."""
+
+    scenario: str
+    seed: int
+    relays: int
+    boxes: int
+    connections: int
+    seconds: float
+    answers: dict[str, int]
+    no_answer: dict[str, int]
+    findings: list[Finding]
+    counts: dict[str, int]  # of findings, by rule
+    well_served: dict[str, float]
+    well_served_all: float
+    credit_served: float  # of the credit that the seconds wanted are worth
+    setups_per_tunnel: float
+    placement_ms: dict[str, float]
+    moves: int
+    relay_cpu_s: float
+    relay_peak_mb: float
+    standins_late: bool
+    standins_late_ms: float
+    seconds_by_profile: dict[str, list[tuple[int, float, float]]]
+    load_by_box: dict[str, list[tuple[int, float, int]]]
+
+    @property
+    def holds(self) -> bool:
+        return not self.findings
+
+    def flat(self) -> dict[str, Any]:
+        """As `--json` gives it: the rules' counts beside the figures."""
+        told = msgspec.to_builtins(self)
+        counts = told.pop("counts")
+        return (
+            {
+                name: told[name]
+                for name in (
+                    "scenario",
+                    "seed",
+                    "relays",
+                    "boxes",
+                    "connections",
+                    "seconds",
+                    "answers",
+                    "no_answer",
+                )
+            }
+            | counts
+            | {name: value for name, value in told.items() if name not in counts}
+        )
+
+
+def quantile(ordered: list[float], part: float) -> float:
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
+
+
+class Judge:
+    """Reads the records of one run and says what they prove."""
+
+    def __init__(self, plan: Plan, records: Iterable[Record]) -> None:
+        self.plan = plan
+        self.kinds: dict[type, list[Any]] = defaultdict(list)
+        for record in records:
+            self.kinds[type(record)].append(record)
+        self.findings: list[Finding] = []
+        self.down: dict[int, list[int]] = defaultdict(list)
+        for life in self.kinds[Life]:
+            # A planned stop costs nobody anything, so it excuses nothing.
+            if life.how in ("killed", "crashed"):
+                self.down[life.relay].append(life.ended)
+        self.cuts: dict[tuple[int, int], list[int]] = defaultdict(list)  # when a relay was cut off from a box
+        for act in plan.acts:
+            if act.who == "box" and act.what == "cut" and act.size:
+                self.cuts[act.relay, act.which].append(act.at)
+        self.setups: dict[str, list[Setup]] = defaultdict(list)
+        for setup in sorted(self.kinds[Setup], key=lambda setup: (setup.whole, setup.box)):
+            self.setups[setup.tun].append(setup)
+
+    def verdict(self) -> Verdict:
+        plan, calls = self.plan, self.kinds[Call]
+        self._answers(calls)
+        self._setups(calls)
+        self._drains()
+        self._others()
+        answers = {"opened": 0, "declined": 0, "closed_with_error": 0}
+        no_answer = {"gave_up": 0, "unreached": 0, "closed": 0, "at_the_end": 0}
+        names = {"UP": "opened", "BUSY": "declined"}
+        missing = {"GAVE_UP": "gave_up", "UNREACHED": "unreached", "": "at_the_end"}
+        for call in calls:
+            if call.word in NO_ANSWER:
+                no_answer[missing.get(call.word, "closed")] += 1
+            else:
+                answers[names.get(call.word, "closed_with_error")] += 1
+        opened = [call for call in calls if call.word == "UP"]
+        placed = sorted((call.answered - call.began) / MS for call in opened)
+        late = max(self.kinds[Late], key=lambda entry: entry.worst, default=Late("", 0, 0))
+        lives = self.kinds[Life]
+        seconds, shares, whole, credit = self._service()
+        counts = dict.fromkeys(RULES, 0)
+        for finding in self.findings:
+            counts[finding.rule] += 1
+        served = [tun for tun in self.setups if self.setups[tun]]
+        return Verdict(
+            plan.scenario,
+            plan.seed,
+            plan.relays,
+            len(plan.boxes),
+            len(calls),
+            plan.seconds,
+            answers,
+            no_answer,
+            sorted(self.findings, key=lambda finding: finding.at)[:200],
+            counts,
+            shares,
+            whole,
+            credit,
+            sum(len(self.setups[tun]) for tun in served) / max(1, len(served)),
+            {"p50": quantile(placed, 0.5), "p99": quantile(placed, 0.99), "p999": quantile(placed, 0.999)},
+            sum(call.how == "MOVE" for call in calls),
+            sum(life.cpu_ns for life in lives) / SECOND,
+            max((life.peak_kb for life in lives), default=0) / 1024,
+            late.worst > TOO_LATE,
+            late.worst / MS,
+            seconds,
+            self._loads(),
+        )
+
+    def _found(self, rule: str, at: int, what: str) -> None:
+        self.findings.append(Finding(rule, at, what))
+
+    def _was_down(self, relay: int, begin: int, end: int) -> bool:
+        """Whether the relay's process ended in that span, which costs what it held."""
+        return any(begin - KILL_SLACK <= at <= end + KILL_SLACK for at in self.down[relay])
+
+    # -- no tunnel is lost -------------------------------------------------------------------------
+
+    def _answers(self, calls: list[Call]) -> None:
+        end = int(self.plan.seconds * SECOND)
+        for call in calls:
+            due = call.began + call.wait + GRACE
+            if call.word in NO_ANSWER:
+                in_grace = call.word == "GAVE_UP" and 0 <= call.answered <= due
+                # One that was never reached has no relay to blame; one that the run's end met was not waited
+                # for.
+                if (
+                    call.word in ("CLOSED", "GAVE_UP")
+                    and not in_grace
+                    and due < end
+                    and not self._was_down(call.relay, call.began, max(due, call.answered))
+                ):
+                    rule = "unanswered" if call.answered < 0 or call.word == "CLOSED" else "answered_late"
+                    self._found(rule, call.began, f"{call.tun} at relay {call.relay}: {call.word}")
+            elif call.answered > due:
+                self._found("answered_late", call.answered, f"{call.tun}: {call.word}")
+            if call.more:
+                self._found(
+                    "answered_twice",
+                    call.answered,
+                    f"{call.tun} at relay {call.relay}: {call.more} more after {call.word}",
+                )
+            if call.gaps or call.held:
+                self._found(
+                    "lines_lost", call.ended, f"{call.tun}: {call.gaps} gaps, {call.held} held, to its client"
+                )
+            if call.word == "UP":
+                self._open_one(call)
+
+    def _open_one(self, call: Call) -> None:
+        mine = [
+            setup
+            for setup in self.setups[call.tun]
+            if setup.receipt and setup.receipt == call.receipt and setup.relay == call.relay
+        ]
+        if not mine:
+            self._found("not_what_a_box_made", call.answered, f"{call.tun}: UP {call.receipt}")
+            return
+        setup = mine[0]
+        cut_off = any(setup.began <= at <= setup.ended for at in self.cuts[setup.relay, setup.box])
+        if setup.gaps or (setup.held and not cut_off):
+            self._found(
+                "lines_lost", setup.ended, f"{call.tun}: {setup.gaps} gaps, {setup.held} held, to its box"
+            )
+        if call.how not in ("cut", "reset"):
+            return
+        # The box ended it first, or the relay died: then the client was cut off by neither's fault.
+        by_box = setup.by_box and setup.ended <= call.ended + KILL_SLACK
+        if not by_box and not self._was_down(call.relay, call.ended, call.ended):
+            self._found("cut_without_move", call.ended, f"{call.tun} at relay {call.relay}, box {setup.box}")
+
+    # -- no effect twice ---------------------------------------------------------------------------
+
+    def _setups(self, calls: list[Call]) -> None:
+        profiles = self.plan.profiles
+        by_tun = {call.tun: call for call in calls}
+        for tun, setups in self.setups.items():
+            call = by_tun.get(tun)
+            for one, two in pairwise(setups):
+                over = min(
+                    at for at in (one.answered if one.word != "UP" else -1, one.ended, 1 << 62) if at >= 0
+                )
+                if two.whole < over - GRACE:
+                    self._found("overlapping_setups", two.whole, f"{tun}: boxes {one.box} and {two.box}")
+            if call is None:
+                continue
+            row = profiles[call.profile]
+            for place, later in enumerate(setups):
+                ran = [setup for setup in setups[:place] if setup.word != "BUSY"]
+                if ran and not self._may_follow(row, ran[0], later):
+                    self._found(
+                        "ran_twice", later.whole, f"{tun} ({row.effect}): boxes {ran[0].box}, {later.box}"
+                    )
+            ran = [setup for setup in setups if setup.word != "BUSY" and setup.whole < call.answered]
+            harmless = row.effect == "pure" or (row.effect == "token" and row.group == "all")
+            if call.word == "BUSY" and ran and not harmless:
+                self._found("declined_after_run", call.answered, f"{tun} ({row.effect}): box {ran[0].box}")
+
+    def _may_follow(self, row: Any, first: Setup, later: Setup) -> bool:
+        if row.effect == "pure":
+            return True
+        if row.effect != "token" or later.whole > first.whole + row.window + GRACE:
+            return False
+        one, two = self.plan.boxes[first.box], self.plan.boxes[later.box]
+        return row.group == "all" or (row.group == "zone" and one.zone == two.zone) or one.cell == two.cell
+
+    # -- drains are kept ---------------------------------------------------------------------------
+
+    def _drains(self) -> None:
+        told: dict[tuple[int, int], list[tuple[int, str]]] = defaultdict(list)
+        for entry in sorted(self.kinds[Told], key=lambda entry: entry.at):
+            told[entry.relay, entry.box].append((entry.at, entry.phase))
+        for setups in self.setups.values():
+            for setup in setups:
+                before = [
+                    entry
+                    for entry in told[setup.relay, setup.box]
+                    if entry[0] + self.plan.drain_grace + GRACE < setup.began
+                ]
+                after = [
+                    entry
+                    for entry in told[setup.relay, setup.box]
+                    if entry[0] + self.plan.drain_grace + GRACE >= setup.began >= entry[0]
+                ]
+                # Told since that it is up again is told.
+                if (
+                    before
+                    and before[-1][1] != "up"
+                    and not any(phase == "up" for _, phase in after)
+                    and not self._was_down(setup.relay, before[-1][0], setup.began)
+                ):
+                    self._found(
+                        "late_sends_after_drain",
+                        setup.began,
+                        f"{setup.tun} from relay {setup.relay} to box {setup.box}, "
+                        f"{(setup.began - before[-1][0]) // MS} ms after {before[-1][1]}",
+                    )
+
+    # -- the rest ----------------------------------------------------------------------------------
+
+    def _others(self) -> None:
+        for fell in self.kinds[Fell]:
+            self._found("cold_pushed_over", fell.at, f"box {fell.box} at {fell.asked:.1f} of its strength")
+        for alien in self.kinds[Alien]:
+            self._found("bad_clients_served", alien.at, f"box {alien.box} was sent {alien.line!r}")
+        for rude in self.kinds[Rude]:
+            ends = rude.at + TURNED_OUT + GRACE
+            if not 0 <= rude.took <= TURNED_OUT + GRACE and ends < self.plan.seconds * SECOND:
+                self._found(
+                    "bad_clients_held", rude.at, f"{rude.kind} at relay {rude.relay}: {rude.took // MS} ms"
+                )
+            if rude.word.startswith("UP"):
+                self._found("bad_clients_served", rude.at, f"{rude.kind} at relay {rude.relay}: {rude.word}")
+        for life in self.kinds[Life]:
+            if life.how == "crashed":
+                self._found("crashed", life.ended, f"relay {life.relay}: exit code {life.code}")
+
+    # -- figures -----------------------------------------------------------------------------------
+
+    def _service(self) -> tuple[dict[str, list[tuple[int, float, float]]], dict[str, float], float, float]:
+        sums: dict[tuple[int, int], list[float]] = defaultdict(lambda: [0.0, 0.0])
+        for entry in self.kinds[Second]:
+            place = sums[entry.profile, entry.second]
+            place[0] += entry.wanted
+            place[1] += entry.served
+        seconds: dict[str, list[tuple[int, float, float]]] = {}
+        shares: dict[str, float] = {}
+        totals = [0.0, 0.0, 0.0, 0.0]
+        for index, row in enumerate(self.plan.profiles):
+            line = sorted((second, *both) for (profile, second), both in sums.items() if profile == index)
+            seconds[row.name] = line
+            judged = [entry for entry in line if entry[0] >= self.plan.judged_from]
+            wanted, served = (sum(entry[place] for entry in judged) for place in (1, 2))
+            shares[row.name] = served / wanted if wanted else 0.0
+            for place, amount in enumerate((wanted, served, wanted * row.credit, served * row.credit)):
+                totals[place] += amount
+        return (
+            seconds,
+            shares,
+            totals[1] / totals[0] if totals[0] else 0.0,
+            totals[3] / totals[2] if totals[2] else 0.0,
+        )
+
+    def _loads(self) -> dict[str, list[tuple[int, float, int]]]:
+        loads: dict[str, list[tuple[int, float, int]]] = defaultdict(list)
+        for entry in self.kinds[BoxSecond]:
+            loads[self.plan.boxes[entry.box].name].append((entry.second, round(entry.asked, 4), entry.held))
+        return {name: sorted(loads[name]) for name in sorted(loads)}
--- /dev/null
+++ b/cedarledge/standins/plan.py
@@ -0,0 +1,138 @@
+"""What a run of the stand-in fleet consists of: plain values that go from the rig to its processes as JSON.
+
+Times are whole ns after the run's start; boxes, relays and profiles are indices into the plan's tables.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+
+# Where the stand-ins listen. Every box has an address for each relay, so that what a relay does, and whether
+# it is cut off from a box, can be told without trusting what it says: 127.20.0.0/16 for the first relay's
+# boxes, 127.21.0.0/16 for the second's. Relays and discovery have one address each.
+BOX_NET, RELAY_NET, DISCOVERY_NET = 20, 8, 9
+MOST_RELAYS, MOST_BOXES = 64, 2000
+# A box that comes back elsewhere under its old id listens this many ports further on.
+OTHER_PORT = 1
+# The id of a tunnel that no usual client sent begins so: a box that sees one was sent what no client may
+# send.
+BAD_ID = "x-bad-"
+
+
+class ProfilePlan(msgspec.Struct, frozen=True):
+    """One profile: how its clients behave, what they ask for, and what the relay is told of it."""
+
+    name: str
+    share: float  # of all clients
+    effect: str  # as the settings name it: pure, token, side_effect
+    group: str  # all, zone, cell
+    window: int
+    setup_goal: int
+    client_timeout: int
+    message_goal: int
+    credit: float
+    load: float  # cores that an open connection keeps busy
+
+
+class BoxPlan(msgspec.Struct, frozen=True):
+    """One feed box."""
+
+    name: str
+    cell: int
+    zone: str
+    kind: str
+    cores: float
+    speed: float  # of one core, 1.0 usual
+    cap: int  # connections
+    at_start: bool  # part of the list from the beginning
+
+
+class BoxTerms(msgspec.Struct, frozen=True):
+    """How every box works; times in ns."""
+
+    message: int  # a message's time on an idle core of speed 1.0
+    setup: int  # work of a new connection, on one core of speed 1.0
+    round_trip: int  # what a setup takes beside that work
+    queue: int  # of work, past which a new connection is turned away
+    refresh: int  # how often the report is made anew
+    behind: int  # how late a report is
+    cold_from: float
+    warm_within: int
+    fall_multiple: float
+    fall_span: int
+    fallen_for: int
+    move_after: int  # a draining box sends its clients away from then on
+
+
+class Act(msgspec.Struct, frozen=True):
+    """One thing that the schedule has happen. Who plays it follows from `who`."""
+
+    at: int
+    who: str  # box, list, relay, clients
+    what: str
+    which: int = -1
+    size: float = 0.0
+    relay: int = -1
+
+
+class ClientTerms(msgspec.Struct, frozen=True):
+    """How every client behaves; times in ns."""
+
+    rate: float  # newcomers a second, all processes together
+    standing: int  # come within `ramp` at the start
+    ramp: int
+    life: int  # mean
+    line_every: int
+    retries: int
+    backoff: int
+    come_back: int  # after the last retry
+    keys: int
+    front_every: int  # how often the front asks a relay for its PONG
+    front_after: int  # how long a relay must be silent to be taken out
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """One run, whole. Equal scenario, sizes and seed give an equal plan."""
+
+    scenario: str
+    seed: int
+    seconds: float
+    judged_from: float  # service counts from here on; the rules count throughout
+    relays: int
+    boxes: tuple[BoxPlan, ...]
+    profiles: tuple[ProfilePlan, ...]
+    box_terms: BoxTerms
+    client_terms: ClientTerms
+    acts: tuple[Act, ...]
+    faults: tuple[tuple[str, float, float], ...]  # name, from, to in seconds: for the report alone
+    drain_grace: int
+    sockets: int
+    memory_mb: int
+    settings: dict[str, Any]
+
+
+class Post(msgspec.Struct, frozen=True):
+    """What one process of the run is told: the plan, its part of it, and when and where."""
+
+    plan: Plan
+    role: str  # boxes, clients
+    part: int  # of `parts` processes of this role
+    parts: int
+    port: int
+    begin: int  # monotonic ns of the run's start
+    begin_unix_ms: int
+    book: str  # path of its book
+
+
+def box_address(box: int, relay: int) -> str:
+    return f"127.{BOX_NET + relay}.{box // 200}.{box % 200 + 1}"
+
+
+def relay_address(relay: int) -> str:
+    return f"127.{RELAY_NET}.0.{relay + 1}"
+
+
+def discovery_address(relay: int) -> str:
+    return f"127.{DISCOVERY_NET}.0.{relay + 1}"
--- /dev/null
+++ b/cedarledge/standins/worker.py
@@ -0,0 +1,88 @@
+"""One process of the stand-in fleet: told on standard input what it is to play, it tells each second how it
+goes."""
+
+from __future__ import annotations
+
+import json
+import sys
+import time
+from typing import Any
+
+import msgspec
+
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.standins.books import Book, Late
+from cedarledge.standins.boxes import Boxes
+from cedarledge.standins.clients import Crowd
+from cedarledge.standins.plan import Post
+from cedarledge.terms import MS, SECOND
+
+# How often a process looks how late it runs itself.
+LATENESS_EVERY = 20 * MS
+
+
+class Lateness:
+    """How late a process's own timers come: what it measures can be no better."""
+
+    def __init__(self, deadlines: Deadlines, now: Any) -> None:
+        self._deadlines = deadlines
+        self._now = now
+        self.worst = 0
+        self.at = 0
+        self._due = 0
+
+    def begin(self) -> None:
+        self._due = self._now() + LATENESS_EVERY
+        self._deadlines.after(LATENESS_EVERY, self._look)
+
+    def _look(self) -> None:
+        late = self._now() - self._due
+        if late > self.worst:
+            self.worst, self.at = late, self._now()
+        self.begin()
+
+
+def main() -> int:
+    from twisted.internet import reactor
+
+    post = msgspec.json.decode(sys.stdin.buffer.read(), type=Post)
+
+    def now() -> int:
+        return time.monotonic_ns() - post.begin
+
+    deadlines = Deadlines(reactor, now)
+    book = Book(post.book)
+    kind = Boxes if post.role == "boxes" else Crowd
+    player = kind(reactor, deadlines, now, post.plan, post.part, post.parts, post.port, book)
+    lateness = Lateness(deadlines, now)
+    if isinstance(player, Boxes):
+        player.open()
+
+    def tell() -> None:
+        print(json.dumps({"role": post.role, "part": post.part} | player.summary()), flush=True)
+        book.flush()
+        deadlines.after(SECOND, tell)
+
+    def end() -> None:
+        player.close()
+        book.write(Late(f"{post.role} {post.part}", lateness.worst, lateness.at))
+        book.close()
+        reactor.stop()
+
+    def begin() -> None:
+        lateness.begin()
+        player.begin()
+        tell()
+
+    print("ready", flush=True)
+    deadlines.after(-now(), begin)
+    # Boxes go on for a little, so that what the clients' end sets off is still seen.
+    deadlines.after(
+        int(post.plan.seconds * SECOND) + (SECOND // 2 if post.role == "boxes" else 0) - now(), end
+    )
+    reactor.run()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -121,6 +121,12 @@
         return min((row.message_goal for row in self.profiles if row.message_goal), default=0)
 
 
+class Outlook(NamedTuple):
+    """What other subsystems know that bears on the choice, as plain values; the defaults say nothing."""
+
+    aside: frozenset[int] = frozenset()  # backends that get nothing new; who is there stays
+
+
 class Host(Protocol):
     """What the decision module may have done; every call takes effect at the time of the running event."""
 
--- /dev/null
+++ b/tests/test_judge.py
@@ -0,0 +1,252 @@
+"""The judge: for each rule a run that breaks it and must be caught, and its neighbour that must not."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pytest import mark
+
+from cedarledge.rig.scenario import Scenario
+from cedarledge.rig.schedule import plan_of
+from cedarledge.standins.books import (
+    Alien,
+    Book,
+    BoxSecond,
+    Call,
+    Fell,
+    Late,
+    Life,
+    Record,
+    Rude,
+    Second,
+    Setup,
+    Told,
+    read_book,
+)
+from cedarledge.standins.judge import RULES, Judge, Verdict
+from cedarledge.standins.plan import Act
+from cedarledge.terms import MS, SECOND
+
+PLAN = plan_of(Scenario("Test", seconds=20.0), 1)
+LIVE, MAP, STATE, BOOKING = range(4)
+
+
+def call(word: str = "UP", **other: object) -> Call:
+    told = {
+        "profile": LIVE,
+        "began": SECOND,
+        "answered": SECOND + 20 * MS,
+        "receipt": "r1",
+        "ended": 9 * SECOND,
+        "how": "left",
+    } | other
+    return Call("t1", 0, told.pop("profile"), True, told.pop("began"), 1200 * MS, word, **told)
+
+
+def setup(box: int = 0, word: str = "UP", whole: int = SECOND + MS, **other: object) -> Setup:
+    told = {"answered": whole + 15 * MS, "receipt": "r1" if word == "UP" else "", "ended": 9 * SECOND} | other
+    return Setup(box, 0, "t1", whole, whole, word, **told)
+
+
+def judged(*records: Record, **other: object) -> Verdict:
+    return Judge(msgspec.structs.replace(PLAN, **other), records).verdict()
+
+
+def broken(*records: Record, **other: object) -> set[str]:
+    verdict = judged(*records, **other)
+    assert {rule for rule, count in verdict.counts.items() if count} == {
+        found.rule for found in verdict.findings
+    }
+    return {found.rule for found in verdict.findings}
+
+
+def killed(at: int, how: str = "killed") -> Life:
+    return Life(0, 0, 0, at, how, -9, 0, 0)
+
+
+def test_a_tunnel_as_it_should_be_breaks_nothing() -> None:
+    assert broken(call(), setup()) == set()
+    assert broken(call("BUSY", receipt=""), setup(word="BUSY", ended=SECOND + 17 * MS)) == set()
+    assert broken(call("ERR", receipt="")) == set()
+
+
+BUSY_THEN_UP = (setup(1, "BUSY", SECOND, answered=SECOND + MS, ended=SECOND + 2 * MS), setup())
+LOST = {
+    "no answer in its time": ("unanswered", [call("GAVE_UP", answered=-1)]),
+    "ended without a word": ("unanswered", [call("CLOSED")]),
+    "an answer past its time": ("answered_late", [call("BUSY", answered=SECOND + 1300 * MS)]),
+    "one given up and answered later": ("answered_late", [call("GAVE_UP", answered=SECOND + 1300 * MS)]),
+    "a second answer": ("answered_twice", [call("BUSY", more=1)]),
+    "UP that no box said": ("not_what_a_box_made", [call(receipt="r2"), setup()]),
+    "UP of another relay's box": (
+        "not_what_a_box_made",
+        [call(), Setup(0, 1, "t1", SECOND, SECOND, "UP", SECOND, "r1")],
+    ),
+    "cut without MOVE": ("cut_without_move", [call(how="cut", ended=5 * SECOND), setup(ended=5 * SECOND)]),
+    "reset without MOVE": (
+        "cut_without_move",
+        [call(how="reset", ended=5 * SECOND), setup(ended=5 * SECOND)],
+    ),
+    "a line that never came to the box": ("lines_lost", [call(), setup(gaps=1)]),
+    "a line held back on its way to the client": ("lines_lost", [call(held=1), setup()]),
+    "two setups at once": (
+        "overlapping_setups",
+        [call(), setup(ended=9 * SECOND, word="", answered=-1), setup(1, whole=SECOND + 100 * MS)],
+    ),
+    "once-only run twice": (
+        "ran_twice",
+        [call(profile=BOOKING), setup(1, "ERR", ended=SECOND + 17 * MS), setup(whole=SECOND + 20 * MS)],
+    ),
+    "referenced past its window": (
+        "ran_twice",
+        [call(profile=STATE), setup(1, "ERR", ended=SECOND + 17 * MS), setup(whole=4 * SECOND)],
+    ),
+    "once-only declined after a run": (
+        "declined_after_run",
+        [call("BUSY", profile=BOOKING), setup(word="ERR", answered=SECOND + 9 * MS, ended=SECOND + 10 * MS)],
+    ),
+    "a send to a draining box": (
+        "late_sends_after_drain",
+        [Told(SECOND, 0, 0, "draining", 41), call(), setup(whole=SECOND + 400 * MS)],
+    ),
+    "a cold box pushed over": ("cold_pushed_over", [Fell(SECOND, 3, 3.5)]),
+    "what a box may not be sent": ("bad_clients_served", [Alien(SECOND, 3, 0, "OPEN x")]),
+    "a bad client that was served": ("bad_clients_served", [Rude(SECOND, 0, "half", 5 * MS, "UP r")]),
+    "a bad client that was kept": ("bad_clients_held", [Rude(SECOND, 0, "half", -1, "")]),
+    "a relay that ended by itself": ("crashed", [killed(SECOND, "crashed")]),
+}
+
+
+@mark.parametrize("case", LOST)
+def test_each_broken_rule_is_found(case: str) -> None:
+    rule, records = LOST[case]
+    assert rule in RULES
+    assert broken(*records) == {rule}
+
+
+HARMLESS = {
+    "its relay was killed": [
+        call("CLOSED", answered=4 * SECOND, began=4 * SECOND - 9 * MS),
+        killed(4 * SECOND),
+    ],
+    "cut off as its relay was killed": [
+        call(how="reset", ended=5 * SECOND),
+        setup(ended=5 * SECOND),
+        killed(5 * SECOND),
+    ],
+    "the box ended it": [call(how="cut", ended=5 * SECOND), setup(ended=5 * SECOND, by_box=True)],
+    "given up, and answered on the way": [call("GAVE_UP", answered=SECOND + 1220 * MS)],
+    "still waiting as the run ends": [call("GAVE_UP", answered=-1, began=19 * SECOND)],
+    "another setup after BUSY": [call(profile=BOOKING), *BUSY_THEN_UP],
+    "referenced within its window": [
+        call(profile=STATE),
+        setup(1, "ERR", ended=SECOND + 17 * MS),
+        setup(whole=SECOND + 20 * MS),
+    ],
+    "a send within the grace": [Told(SECOND, 0, 0, "draining", 41), call(), setup(whole=SECOND + 290 * MS)],
+    "told that it is up again": [
+        Told(SECOND // 2, 0, 0, "removed", 41),
+        Told(SECOND, 0, 0, "up", 42),
+        call(),
+        setup(whole=SECOND + 400 * MS),
+    ],
+    "another relay was told": [Told(SECOND // 9, 1, 0, "draining", 41), call(), setup()],
+    "a bad client turned out": [Rude(SECOND, 0, "half", 2600 * MS, "closed")],
+}
+
+
+@mark.parametrize("case", HARMLESS)
+def test_what_breaks_no_rule_is_not_found(case: str) -> None:
+    assert broken(*HARMLESS[case]) == set()
+
+
+def test_a_planned_stop_excuses_nothing() -> None:
+    cut = [call(how="reset", ended=5 * SECOND), setup(ended=5 * SECOND)]
+    assert broken(*cut, killed(5 * SECOND, "stopped")) == {"cut_without_move"}
+
+
+def test_lines_are_held_by_a_partition_and_not_by_the_relay() -> None:
+    held = [call(), setup(held=2)]
+    assert broken(*held) == {"lines_lost"}
+    assert broken(*held, acts=(Act(2 * SECOND, "box", "cut", 0, 1.0, 0),)) == set()
+    assert broken(*held, acts=(Act(2 * SECOND, "box", "cut", 0, 1.0, 1),)) == {"lines_lost"}
+
+
+def test_figures_are_sums_over_all_processes() -> None:
+    verdict = judged(
+        call(),
+        setup(),
+        Second(2, LIVE, 10.0, 0.0),
+        Second(8, LIVE, 6.0, 6.0),
+        Second(8, LIVE, 2.0, 1.0),
+        Second(9, MAP, 4.0, 1.0),
+        BoxSecond(3, 1, 0.5, 7),
+        Life(0, 0, 5, SECOND, "over", 0, 2 * SECOND, 2048),
+        Life(1, 0, 5, SECOND, "over", 0, SECOND, 4096),
+        Late("boxes 0", 3 * MS, 0),
+        Late("clients 0", 9 * MS, 0),
+    )
+    assert verdict.well_served["live"] == 7 / 8, "what comes before the warm-up's end does not count"
+    assert verdict.well_served["map"] == 0.25
+    assert verdict.credit_served == (3 * 7 + 1) / (3 * 8 + 4)
+    assert (verdict.relay_cpu_s, verdict.relay_peak_mb) == (3.0, 4.0)
+    assert verdict.placement_ms["p50"] == 20.0
+    assert verdict.load_by_box == {PLAN.boxes[1].name: [(3, 0.5, 7)]}
+    assert (verdict.standins_late, verdict.standins_late_ms) == (False, 9.0)
+    assert judged(Late("boxes 0", 400 * MS, 0)).standins_late
+
+
+words = st.sampled_from(("UP", "BUSY", "ERR", "CLOSED", "GAVE_UP", "UNREACHED", ""))
+times = st.integers(0, 20 * SECOND)
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    st.lists(
+        st.builds(
+            Call,
+            st.sampled_from("abc"),
+            st.integers(0, 1),
+            st.integers(0, 3),
+            st.booleans(),
+            times,
+            times,
+            words,
+            times,
+        ),
+        max_size=6,
+    ),
+    st.lists(
+        st.builds(
+            Setup,
+            st.integers(0, 11),
+            st.integers(0, 1),
+            st.sampled_from("abc"),
+            times,
+            times,
+            st.sampled_from(("UP", "BUSY", "ERR", "")),
+        ),
+        max_size=6,
+    ),
+)
+def test_any_books_are_judged_and_read_back_as_they_were_written(
+    calls: list[Call], setups: list[Setup]
+) -> None:
+    verdict = judged(*calls, *setups)
+    assert sum(verdict.answers.values()) + sum(verdict.no_answer.values()) == len(calls)
+    assert set(verdict.flat()) >= {"unanswered", "overlapping_setups", "cold_pushed_over", "well_served"}
+
+
+def test_a_book_that_was_cut_off_is_read_up_to_there(tmp_path: Path) -> None:
+    path = tmp_path / "book"
+    book = Book(path)
+    entries = [call(), setup(), Told(1, 0, 2, "up", 41)]
+    for entry in entries:
+        book.write(entry)
+    book.close()
+    assert list(read_book(path)) == entries
+    path.write_bytes(path.read_bytes()[:-3])
+    assert list(read_book(path)) == entries[:2]
--- /dev/null
+++ b/tests/test_seams.py
@@ -0,0 +1,200 @@
+"""What a relay can be added to by: hearers, logs, the operator's file, and facts for the decision."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import time
+from pathlib import Path
+
+import msgspec
+from helpers import MS, SECOND, Backend, Program, fleet, until
+from loguru import logger
+from pytest import fixture, mark, raises
+from twisted.internet.task import Clock
+
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.hearers import MOST_FAULTS, Hearers
+from cedarledge.net.logs import NeverWaiting, as_json
+from cedarledge.net.seams import Hearer
+from cedarledge.operator.file import OperatorFile, read_operator_file
+from cedarledge.operator.tables import BadFileError, read_tables
+from cedarledge.rig.scenario import Scenario, load_scenario, shipped
+from cedarledge.rig.schedule import plan_of
+from cedarledge.terms import Outlook
+
+
+class Ear(Hearer):
+    def __init__(self, cost: int = 0, fails: bool = False) -> None:
+        self.heard = 0
+        self.cost = cost
+        self.fails = fails
+
+    def moved(self, now: int, tun: int, ep: int) -> None:
+        self.heard += 1
+        Ear.watch += self.cost
+        if self.fails:
+            raise ValueError("on purpose")
+
+    watch = 0
+
+
+def hearers_of(*ears: Ear) -> tuple[Hearers, Clock]:
+    clock = Clock()
+
+    def now() -> int:
+        return round(clock.seconds() * SECOND)
+
+    hearers = Hearers(now, Deadlines(clock, now), 0.05, 30 * SECOND, stopwatch=lambda: Ear.watch)
+    for ear in ears:
+        hearers.add(ear)
+    return hearers, clock
+
+
+@mark.parametrize("bad", [Ear(fails=True), Ear(cost=20 * MS)])
+def test_a_hearer_that_fails_or_takes_its_time_is_left_out_for_a_while_and_costs_no_other(bad: Ear) -> None:
+    good = Ear()
+    hearers, clock = hearers_of(bad, good)
+    for _ in range(20):
+        hearers.tell("moved", 1, 2)
+    assert good.heard == 20
+    assert bad.heard <= MOST_FAULTS
+    clock.advance(31)
+    hearers.tell("moved", 1, 2)
+    assert bad.heard <= MOST_FAULTS + 1
+    assert good.heard == 21
+
+
+def test_a_hearer_within_its_share_goes_on_listening_for_good() -> None:
+    ear = Ear(cost=20 * MS)
+    hearers, clock = hearers_of(ear)
+    for _ in range(50):
+        clock.advance(0.5)
+        hearers.tell("moved", 1, 2)
+    assert ear.heard == 50
+    hearers.tell("opened", 1, 2, 3)
+    assert ear.heard == 50, "what it does not listen to is not told"
+
+
+@fixture
+def pipe() -> tuple[int, int]:
+    ends = os.pipe()
+    yield ends
+    for end in ends:
+        os.close(end)
+
+
+def test_a_log_reader_that_stops_costs_lines_and_no_time(pipe: tuple[int, int]) -> None:
+    reader, writer = pipe
+    sink = NeverWaiting(writer, most=8 << 10)
+    line = "x" * 99 + "\n"
+    began = time.monotonic()
+    for _ in range(3000):
+        sink(line)
+    assert time.monotonic() - began < 1, "a write to a full pipe would never come back"
+    assert sink.dropped > 1000
+    got = b""
+    while b"dropped" not in got:
+        got += os.read(reader, 1 << 16)
+        sink.flush()
+    kept, told = got.decode().split("\n")[:-2], got.decode().split("\n")[-2]
+    assert len(kept) + sink.dropped == 3000, "every line is there or counted"
+    assert set(kept) == {"x" * 99}
+    assert told.startswith(f"{sink.dropped} log lines were dropped")
+
+
+def test_json_lines_have_the_event_and_its_fields() -> None:
+    lines: list[str] = []
+    number = logger.add(lines.append, format=as_json)
+    logger.bind(event="tunnel.opened", tunnel=7, took=5).info("{} <and> tags", "{braces}")
+    logger.remove(number)
+    told = json.loads(lines[0])
+    assert (told["event"], told["tunnel"], told["took"]) == ("tunnel.opened", 7, 5)
+    assert told["level"] == "INFO"
+
+
+def test_every_problem_of_a_file_is_told_with_its_place(tmp_path: Path) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(
+        '[log]\nlevel = "loud"\nwaiting_kb = 1\nformm = "text"\n[boxes]\naside = ["a", 5]\n[level]\n'
+    )
+    with raises(BadFileError) as caught:
+        read_operator_file(path)
+    assert [problem.split(":")[0] for problem in caught.value.problems] == [
+        "level",
+        "log.formm",
+        "log.level",
+        "log.waiting_kb",
+        "boxes.aside[1]",
+    ]
+    assert "did you mean 'form'?" in caught.value.problems[1]
+    path.write_text("[log\n")
+    with raises(BadFileError, match="not TOML"):
+        read_operator_file(path)
+    with raises(BadFileError, match="No such file"):
+        read_operator_file(tmp_path / "none.toml")
+    with raises(BadFileError, match=r"boxes: aside: 'a' is there twice"):
+        read_tables({"boxes": {"aside": ["a", "a"]}}, OperatorFile)
+
+
+def test_the_example_file_is_whole_and_has_the_defaults() -> None:
+    path = Path(__file__).parents[1] / "deploy" / "operator.toml"
+    assert read_operator_file(path) == OperatorFile()
+    text = path.read_text()
+    for table in msgspec.structs.fields(OperatorFile):
+        assert f"[{table.name}]" in text
+        for field in msgspec.structs.fields(table.type):
+            assert f"\n{field.name} = " in text
+
+
+def test_shipped_scenarios_are_good_and_their_plans_hang_on_the_seed_alone() -> None:
+    assert len(shipped()) >= 20
+    for name in shipped():
+        scenario = load_scenario(name)
+        assert plan_of(scenario, 5) == plan_of(scenario, 5)
+        assert all(act.at >= 0 for act in plan_of(scenario, 5).acts)
+        assert plan_of(scenario, 5) != plan_of(scenario, 6)
+    with raises(BadFileError, match="rig list"):
+        load_scenario("none")
+    with raises(BadFileError, match=r"fault\[0\].kind"):
+        read_tables({"title": "x", "fault": [{"kind": "bad", "start": 1}]}, Scenario)
+    with raises(BadFileError, match=r"fault\[0\].start: 99 s is past the end"):
+        read_tables({"title": "x", "fault": [{"kind": "hang", "start": 99.0}]}, Scenario)
+
+
+def test_what_is_set_aside_gets_nothing_new_unless_it_would_be_all() -> None:
+    ledger = fleet(4, cells=1)
+    ledger.balancer.knows(ledger.now, Outlook(aside=frozenset({0, 1, 2})))
+    for number in range(6):
+        ledger.arrive(key=f"k{number}")
+    assert {ep for _, _, ep in ledger.sends} == {3}
+    ledger.balancer.knows(ledger.now, Outlook(aside=frozenset(range(4))))
+    for number in range(30):
+        ledger.arrive(key=f"n{number}")
+    assert len({ep for _, _, ep in ledger.sends}) > 1
+
+
+def test_the_operators_file_is_followed_and_read_again_and_a_bad_one_changes_nothing(tmp_path: Path) -> None:
+    backends = [Backend("s-a"), Backend("s-b")]
+    path = tmp_path / "operator.toml"
+    path.write_text('[log]\nform = "json"\nevents = ["opened", "answered"]\n[boxes]\naside = ["s-a"]\n')
+    with Program(tmp_path, backends, arguments=["relay", "--file", str(path)]) as program:
+        clients = [program.client() for _ in range(4)]
+        assert [client.open(f"k{number}") for number, client in enumerate(clients)] == ["UP r"] * 4
+        assert (len(backends[0].heads), len(backends[1].heads)) == (0, 4)
+
+        def told() -> list[dict]:
+            return [json.loads(line) for line in program.log.read_text().splitlines() if line.startswith("{")]
+
+        until(lambda: sum(entry.get("event") == "tunnel.opened" for entry in told()) == 4)
+        path.write_text("[boxes]\naside = 5\n")
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: "boxes.aside" in program.log.read_text())
+        assert program.client().open("k9") == "UP r"
+        assert not backends[0].heads, "the old file holds"
+        path.write_text('[boxes]\naside = ["s-b"]\n')
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: "configuration read again" in program.log.read_text())
+        assert program.client().open("k9") == "UP r"
+        assert len(backends[0].heads) == 1
