A fault in the decision module answers the tunnels that were waiting for its word

Need: a tunnel that waits for a look at a box has no setup out; where the module failed as the look ended, nothing ever placed or answered it. Found by a property test that has boxes and the module fail in any order.

--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -44,11 +44,13 @@
         self.balancer = make(self, facts)
 
     def tell(self, method: Callable[..., None], *args: Any) -> bool:
-        """Calls the module. A fault there costs one event, not the connections that this relay holds."""
+        """Calls the module. A fault there costs one event, not the connections that this relay holds; but
+        who was waiting for its word may never hear it, and is answered now."""
         try:
             method(self.clock(), *args)
         except Exception:
             logger.exception("the decision module failed")
+            self.tunnels.answer_waiting()
             return False
         return True
 
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -302,6 +302,15 @@
             self.client_ended(tun, abrupt=False)
             tunnel.client.fail()
 
+    def answer_waiting(self) -> None:
+        """The module failed, on which tunnels is not known: all that have no setup out, and wait for it
+        alone."""
+        for tun in self.table.handles():
+            tunnel = self.table.get(tun)
+            # Each answer tells the module of its client's end, and it may fail on that too.
+            if tunnel is not None and tunnel.known and tunnel.setup is None:
+                self.abandon(tun)
+
     def end_all(self) -> None:
         """What is still held would be cut off, so it gets its answer or its MOVE."""
         for tun in self.table.handles():
