A late relay reads what has come before it gives a box up: a storm without declines

Twisted looks at due calls before it looks at sockets; a relay that is busy for 100 ms finds its time-outs first, while the boxes' UP lies unread. It called those setups timed out, set the boxes aside and told clients no. A relay paused for a second answered ERR to a client whose once-only setup had run. Change: Deadlines.after_reading puts a call that is found over 10 ms late off by one turn, once; setups, probes and looks are set so, but for a setup whose end is the client's own answer. The test pauses the relay by SIGSTOP while the box answers, and fails without this.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -23,6 +23,8 @@
 # First words of the lines that end a setup or an open tunnel.
 LAST_WORDS = {b"BYE": Outcome.DONE, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL}
 
+# What a turn of a busy reactor may take.
+TURN = 50 * MS
 # How soon a probe that took unusually long is sent once more.
 ASK_AGAIN = 250 * MS
 
@@ -34,6 +36,7 @@
     """Where the backends' side tells what comes of setups."""
 
     def may_send(self, tun: int, ep: int) -> bool: ...
+    def client_waits(self, tun: int) -> int: ...
     def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
     def lines_back(self, tun: int, lines: list[bytes]) -> None: ...
     def garbled(self, tun: int) -> None: ...
@@ -115,7 +118,9 @@
             self.abort()
             self._settle(Outcome.NOT_SENT)
             return
-        self.due_in(left, self._too_late)
+        # The last setup's end is the client's answer, which is not put off.
+        spare = self.backends.watcher.client_waits(self.tun) - left
+        self.due_in(left, self._too_late, reads_first=spare > TURN)
         # As a pull producer it is asked once for the line and once more when the system has taken it all.
         self.transport.registerProducer(self, False)
 
@@ -214,7 +219,7 @@
 
     def _write(self) -> None:
         self.asked_at = self.means.clock()
-        self.due_in(self.backends.probe_within, self.turn_out)
+        self.due_in(self.backends.probe_within, self.turn_out, reads_first=True)
         self.send_line(self.backends.probe_word)
 
     def lines_came(self, lines: list[bytes]) -> None:
--- a/cedarledge/net/deadlines.py
+++ b/cedarledge/net/deadlines.py
@@ -11,7 +11,11 @@
 from loguru import logger
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
-from cedarledge.terms import SECOND
+from cedarledge.terms import MS, SECOND
+
+# A call found due this much too late says as much of this process as of the peer that it waits for; and how
+# long it is put off then, which is one turn of the reactor at least.
+LATE, LOOK_AGAIN = 10 * MS, MS
 
 
 def steady_clock() -> Callable[[], int]:
@@ -24,13 +28,14 @@
 class Deadline:
     """A call that is due at a time, unless it is cancelled before."""
 
-    __slots__ = ("args", "at", "call", "order")
+    __slots__ = ("args", "at", "call", "order", "reads_first")
 
     def __init__(self, at: int, order: int, call: Callable[..., None], args: tuple[Any, ...]) -> None:
         self.at = at
         self.order = order
         self.call: Callable[..., None] | None = call
         self.args = args
+        self.reads_first = False
 
     def __lt__(self, other: Deadline) -> bool:
         return (self.at, self.order) < (other.at, other.order)
@@ -57,6 +62,14 @@
             self._arm()
         return deadline
 
+    def after_reading(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
+        """As after, for what gives up waiting for a peer. Where this process itself was late, paused or
+        busy, the peer's answer may have come meanwhile and lie unread: the reactor looks at deadlines first.
+        So the call then waits until what has come is read, once."""
+        deadline = self.after(delay, call, *args)
+        deadline.reads_first = True
+        return deadline
+
     def cancel(self, deadline: Deadline | None) -> None:
         if deadline is None or deadline.call is None:
             return
@@ -83,6 +96,11 @@
         now = self._clock()
         while self._heap and self._heap[0].at <= now:
             deadline = heappop(self._heap)
+            if deadline.reads_first and now - deadline.at > LATE and deadline.call is not None:
+                deadline.reads_first = False
+                deadline.at = now + LOOK_AGAIN
+                heappush(self._heap, deadline)
+                continue
             call, args, deadline.call = deadline.call, deadline.args, None
             if call is None:
                 self._cancelled -= 1
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -74,10 +74,11 @@
 
     # -- deadlines -------------------------------------------------------------------------------
 
-    def due_in(self, delay: int, call: Callable[[], None]) -> None:
-        """Sets the one deadline that a connection has at a time."""
-        self.means.deadlines.cancel(self.deadline)
-        self.deadline = self.means.deadlines.after(delay, call)
+    def due_in(self, delay: int, call: Callable[[], None], reads_first: bool = False) -> None:
+        """Sets the one deadline that a connection has at a time; see Deadlines.after_reading."""
+        deadlines = self.means.deadlines
+        deadlines.cancel(self.deadline)
+        self.deadline = (deadlines.after_reading if reads_first else deadlines.after)(delay, call)
 
     def nothing_due(self) -> None:
         self.means.deadlines.cancel(self.deadline)
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -67,7 +67,8 @@
         self.backends.probe(ep, self.boxes.addresses[ep])
 
     def wake(self, delay: int, token: int) -> None:
-        self.deadlines.after(delay, self._woke, token)
+        # The module takes the end of a look for its box's silence.
+        self.deadlines.after_reading(delay, self._woke, token)
 
     def _woke(self, token: int) -> None:
         self.tell(self.balancer.woke, token)
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -201,6 +201,11 @@
         tunnel = self.table.get(tun)
         return tunnel is not None and (ep in self.boxes.ready or not tunnel.known)
 
+    def client_waits(self, tun: int) -> int:
+        """How long the client still waits for its answer, in ns; below 0: no longer."""
+        tunnel = self.table.get(tun)
+        return -1 if tunnel is None else tunnel.began + tunnel.opening.wait - WAY_BACK - self.clock()
+
     def setup_up(self, tun: int, line: bytes, took: int) -> None:
         tunnel = self.table.get(tun)
         logger.debug("tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep],
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -268,6 +268,7 @@
         self.stats = "utilization=0.2,recent_ms=4,x0=0.2"
         self.heads: list[str] = []
         self.opened: list[socket.socket] = []
+        self.last: socket.socket  # by which the newest head came
         super().__init__()
 
     def entry(self, phase: str = "up") -> dict:
@@ -296,6 +297,7 @@
                 if not self.deaf:
                     link.sendall(line)
             else:
+                self.last = link
                 self.heads.append(line.decode().strip())
                 mode = self.modes.pop(0) if len(self.modes) > 1 else self.modes[0]
                 if mode == "reset":
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import subprocess
 import sys
 import time
@@ -145,6 +146,22 @@
         assert relay.client().open() == "UP r" and late.heads and not backend.heads
 
 
+def test_an_answer_that_came_while_the_relay_was_paused_counts(tmp_path: Path) -> None:
+    """Its own time-out is found first as it goes on; the box has run the setup, and the client must hear
+    so."""
+    backends = [Backend("s-a", "hang")]
+    with Program(tmp_path, backends) as program:
+        client = program.client()
+        client.link.sendall(b"OPEN 77 k c=feed,d=3000,g=g1\r\n")
+        until(lambda: backends[0].heads)
+        program.process.send_signal(signal.SIGSTOP)
+        backends[0].last.sendall(b"UP late\r\n")
+        time.sleep(1)
+        program.process.send_signal(signal.SIGCONT)
+        assert client.hear() == "UP late"
+        assert len(backends[0].heads) == 1
+
+
 @mark.parametrize("lie", [{"back": 3}, {"twice": True}])
 def test_a_discovery_that_is_out_of_step_is_followed_without_a_rush_of_calls(
         lie: dict[str, int], tmp_path: Path) -> None:
