--- a/cedarledge/net/deadlines.py
+++ b/cedarledge/net/deadlines.py
@@ -51,6 +51,10 @@
         self._armed: IDelayedCall | None = None
         self._armed_at = 0
 
+    def __len__(self) -> int:
+        """How many are to come, the cancelled ones left out."""
+        return len(self._heap) - self._cancelled
+
     def now(self) -> int:
         """The time that deadlines are counted by."""
         return self._clock()
--- a/cedarledge/rig/report.py
+++ b/cedarledge/rig/report.py
@@ -80,6 +80,23 @@
     axes.legend(loc="lower left", fontsize=8)
 
 
+def _answers(verdict: Verdict, axes: Axes) -> None:
+    seconds = [line.second for line in verdict.by_second]
+    for name in ("opened", "declined", "closed_with_error", "setups"):
+        axes.plot(seconds, [getattr(line, name) for line in verdict.by_second], label=name.replace("_", " "))
+    axes.set_ylabel("a second")
+    axes.legend(loc="upper left", fontsize=8)
+
+
+def _placement(verdict: Verdict, axes: Axes) -> None:
+    placed = [line for line in verdict.by_second if line.opened]
+    for name, label in (("p50_ms", "median"), ("p99_ms", "99th percentile")):
+        axes.plot([line.second for line in placed], [getattr(line, name) for line in placed], label=label)
+    axes.set_yscale("log")
+    axes.set_ylabel("ms from OPEN to UP")
+    axes.legend(loc="upper left", fontsize=8)
+
+
 def _loads(verdict: Verdict, axes: Axes) -> None:
     lines = [[(second, asked) for second, asked, _ in line] for line in verdict.load_by_box.values()]
     if len(lines) <= MOST_LINES:
@@ -102,6 +119,14 @@
     axes.set_ylabel("load asked over strength")
 
 
+PLOTS: dict[str, Callable[[Verdict, Axes], None]] = {
+    "Well-served share by profile": _service,
+    "Answers and setups": _answers,
+    "Placement time": _placement,
+    "Load by box": _loads,
+}
+
+
 def write_report(folder: Path, title: str, about: str, plan: Plan, verdict: Verdict) -> Path:
     """Writes `NAME-SEED.html` into the folder, which is made if need be, and gives its path."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -140,8 +165,8 @@
             ("rule", "at", "what"),
             [(found.rule, f"{found.at / 1e9:.3f} s", found.what) for found in verdict.findings],
         )
-    plots = _plot(plan, "Well-served share by profile", lambda axes: _service(verdict, axes)) + _plot(
-        plan, "Load by box", lambda axes: _loads(verdict, axes)
+    plots = "".join(
+        _plot(plan, name, lambda axes, draw=draw: draw(verdict, axes)) for name, draw in PLOTS.items()
     )
     path = folder / f"{plan.scenario}-{plan.seed}.html"
     path.write_text(
--- a/cedarledge/standins/clients.py
+++ b/cedarledge/standins/clients.py
@@ -145,7 +145,8 @@
             if call.answered < 0:
                 call.answered, call.receipt = now, line.partition(" ")[0]
             else:
-                call.more += 1
+                # Behind an UP that came late the box's own lines follow.
+                call.more += call.receipt != "UP"
             return
         if not call.word:
             word, _, rest = line.partition(" ")
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -66,6 +66,19 @@
     what: str
 
 
+class BySecond(msgspec.Struct, frozen=True):
+    """The answers that clients got in one second, the setups that reached boxes, and how long placing
+    took."""
+
+    second: int
+    opened: int
+    declined: int
+    closed_with_error: int
+    setups: int
+    p50_ms: float
+    p99_ms: float
+
+
 class Verdict(msgspec.Struct):
     """What came of a run."""
 
@@ -91,6 +104,7 @@
     standins_late_ms: float
     seconds_by_profile: dict[str, list[tuple[int, float, float]]]
     load_by_box: dict[str, list[tuple[int, float, int]]]
+    by_second: list[BySecond]
 
     @property
     def holds(self) -> bool:
@@ -192,6 +206,7 @@
             late.worst / MS,
             seconds,
             self._loads(),
+            self._by_second(calls),
         )
 
     def _found(self, rule: str, at: int, what: str) -> None:
@@ -368,6 +383,28 @@
             totals[3] / totals[2] if totals[2] else 0.0,
         )
 
+    def _by_second(self, calls: list[Call]) -> list[BySecond]:
+        words: dict[int, list[str]] = defaultdict(list)
+        took: dict[int, list[float]] = defaultdict(list)
+        reached: dict[int, int] = defaultdict(int)
+        for call in calls:
+            if call.word not in NO_ANSWER:
+                words[call.answered // SECOND].append(call.word)
+                if call.word == "UP":
+                    took[call.answered // SECOND].append((call.answered - call.began) / MS)
+        for setups in self.setups.values():
+            for setup in setups:
+                reached[setup.whole // SECOND] += 1
+        lines = []
+        for second in sorted(words.keys() | reached.keys()):
+            said, placed = words[second], sorted(took[second])
+            up, busy = said.count("UP"), said.count("BUSY")
+            lines.append(
+                BySecond(second, up, busy, len(said) - up - busy, reached[second],
+                         quantile(placed, 0.5), quantile(placed, 0.99))
+            )
+        return lines
+
     def _loads(self) -> dict[str, list[tuple[int, float, int]]]:
         loads: dict[str, list[tuple[int, float, int]]] = defaultdict(list)
         for entry in self.kinds[BoxSecond]:
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -196,6 +196,10 @@
     assert verdict.placement_ms["p50"] == 20.0
     assert verdict.load_by_box == {PLAN.boxes[1].name: [(3, 0.5, 7)]}
     assert (verdict.standins_late, verdict.standins_late_ms) == (False, 9.0)
+    assert msgspec.to_builtins(verdict.by_second) == [
+        {"second": 1, "opened": 1, "declined": 0, "closed_with_error": 0, "setups": 1}
+        | {"p50_ms": 20.0, "p99_ms": 20.0}
+    ]
     assert judged(Late("boxes 0", 400 * MS, 0)).standins_late
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -129,6 +129,46 @@
     assert got == ["next"]
 
 
+def test_what_gives_up_on_a_peer_is_put_off_once_where_this_process_was_late_itself() -> None:
+    clock, got = Clock(), []
+    deadlines = Deadlines(clock, lambda: round(clock.seconds() * SECOND))
+    deadlines.after_reading(SECOND, got.append, "in time")
+    clock.advance(1)
+    assert got == ["in time"]
+    deadlines.after_reading(SECOND, got.append, "late")
+    deadlines.after(SECOND, got.append, "plain")
+    dropped = deadlines.after_reading(SECOND, got.append, "answered meanwhile")
+    clock.advance(1.5)
+    assert got == ["in time", "plain"], "what has come may be read first"
+    deadlines.cancel(dropped)
+    clock.advance(0.5)
+    assert got == ["in time", "plain", "late"], "once, however late the second look is"
+
+
+def test_thousands_of_lines_that_wait_hang_on_one_deadline() -> None:
+    clock = Clock()
+
+    def now() -> int:
+        return round(clock.seconds() * SECOND) + SECOND
+
+    deadlines, silent = Deadlines(clock, now), []
+    echoes = Echoes(now, deadlines, Delays(now, 0, lambda *_: None), silent.append)
+    lines = [Echo(echoes, tun, 0) for tun in range(3000)]
+    for echo in lines:
+        echo.asked()
+        clock.advance(0.0005)
+    assert len(deadlines) == 1
+    for echo in lines[:-2]:
+        echo.answered()
+    lines[-1].close()
+    clock.advance(SILENT / SECOND)
+    assert silent == [2998]
+    lines[-2].close()
+    clock.advance(SILENT / SECOND)
+    assert not len(deadlines)
+    assert silent == [2998]
+
+
 CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
            b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n")
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -151,7 +151,7 @@
     path = write_report(tmp_path / "new", "A <title>", "about", plan, Judge(plan, records).verdict())
     text = path.read_text()
     assert path.name == "test-4.html"
-    assert text.count("data:image/png;base64") == 4, "two plots, light and dark"
+    assert text.count("data:image/png;base64") == 8, "four plots, light and dark"
     assert "A &lt;title&gt;" in text
     assert "All rules kept." in text
 
