--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -76,8 +76,6 @@
 # it restarts would fill the fleet on paper. Reports tell of them within a second.
 YOUNG = 40 * SECOND
 GUESS_MOST = 0.35
-# Turns of its own loop that a relay takes over a setup: a look, the connection, the line, the answer.
-TURNS = 6
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
 # How long a mean is gone by, for each member that it is made of.
@@ -244,9 +242,8 @@
 
     def knows(self, now: int, outlook: Outlook) -> None:
         """What other subsystems know beside the list has changed."""
-        before, self.outlook = self.outlook, outlook
-        if outlook.aside != before.aside:
-            self._rank()
+        self.outlook = outlook
+        self._rank()
 
     def _rank(self) -> None:
         ready = [member for member in self.members.values() if member.standing is Standing.READY]
@@ -415,10 +412,6 @@
             if len(self.met) >= 4000:
                 self.met.clear()  # at once: in a flood of new ones a sweep for each would cost too much
             self.met.add(key)
-        if TURNS * self.outlook.behind > time_budget:
-            # Its client would give up unanswered. A no costs least, and leaves time for those who wait.
-            self._give_up(now, tun_id, tun)
-            return
         self._place(now, tun_id, tun)
 
     def _learn_load(self, now: int, profile: int, load: float) -> None:
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -10,7 +10,7 @@
 
 from cedarledge.choice import Balancer
 from cedarledge.net.deadlines import Deadlines
-from cedarledge.terms import MS, Outlook, SiteFacts
+from cedarledge.terms import Outlook, SiteFacts
 
 if TYPE_CHECKING:
     from cedarledge.net.backends import Backends
@@ -18,8 +18,6 @@
     from cedarledge.net.discovery import Watch
     from cedarledge.net.tunnels import Tunnels
 
-# Less than this is any busy process's, and not worth a word.
-BEHIND = 50 * MS
 MakeBalancer = Callable[["Module", SiteFacts], Balancer]
 
 
@@ -32,7 +30,6 @@
         self.clock = clock
         self.deadlines = deadlines
         self.outlook = Outlook()
-        self._late = 0  # by how much the last wake was
 
     def join(self, tunnels: Tunnels, backends: Backends, boxes: BoxList, watching: Watch) -> None:
         self.tunnels = tunnels
@@ -71,14 +68,9 @@
 
     def wake(self, delay: int, token: int) -> None:
         # The module takes the end of a look for its box's silence.
-        self.deadlines.after_reading(delay, self._woke, token, self.clock() + delay)
-
-    def _woke(self, token: int, due: int) -> None:
-        late = self.clock() - due
-        # Late twice running: a pause that is over shows once, and is no reason to refuse anybody.
-        behind = min(late, self._late)
-        self._late = late
-        self.knows(behind=behind if behind > BEHIND else 0)
+        self.deadlines.after_reading(delay, self._woke, token)
+
+    def _woke(self, token: int) -> None:
         self.tell(self.balancer.woke, token)
 
     def watch(self) -> None:
--- /dev/null
+++ b/cedarledge/standins/stage.py
@@ -0,0 +1,34 @@
+"""What every stand-in of a process draws on."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.standins.books import Book
+from cedarledge.standins.plan import Plan
+
+
+class Stage(NamedTuple):
+    """The reactor, the clock in ns after the run's start, and what is played."""
+
+    reactor: Any
+    deadlines: Deadlines
+    now: Callable[[], int]
+    plan: Plan
+    port: int  # that everything listens on, each at an address of its own
+    book: Book
+
+
+class Player:
+    """One that plays a part, with what it draws on at hand."""
+
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.reactor = stage.reactor
+        self.deadlines = stage.deadlines
+        self.now = stage.now
+        self.plan = stage.plan
+        self.port = stage.port
+        self.book = stage.book
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -125,7 +125,6 @@
     """What other subsystems know that bears on the choice, as plain values; the defaults say nothing."""
 
     aside: frozenset[int] = frozenset()  # backends that get nothing new; who is there stays
-    behind: int = 0  # how late this relay itself gets to what is due
 
 
 class Host(Protocol):
