--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -1,5 +1,4 @@
-"""The list of boxes as this relay has it: who is on it, where, and who is ready. What discovery tells ends
-here."""
+"""The list of boxes as this relay has it: who is on it, where, and who is ready."""
 
 from __future__ import annotations
 
--- a/cedarledge/net/eventlog.py
+++ b/cedarledge/net/eventlog.py
@@ -1,5 +1,4 @@
-"""A log line for each thing that happens, as far as the operator asks for it: event names and fields stay
-the same."""
+"""A log line for each thing that happens, as far as the operator asks for it."""
 
 from __future__ import annotations
 
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -1,5 +1,4 @@
-"""The decision module in its place: every call to it is guarded, and what it wants done goes to who does
-it."""
+"""The decision module in its place: calls to it are guarded, what it wants done is handed on."""
 
 from __future__ import annotations
 
--- a/cedarledge/rig/compare.py
+++ b/cedarledge/rig/compare.py
@@ -1,5 +1,4 @@
-"""Compares two ways of running, seed by seed: paired differences with bootstrap intervals, and a plain
-verdict."""
+"""Compares two ways of running, seed by seed: paired differences, intervals, a plain verdict."""
 
 from __future__ import annotations
 
--- a/cedarledge/rig/demo.py
+++ b/cedarledge/rig/demo.py
@@ -1,5 +1,4 @@
-"""The demonstration: a small fleet with a slow box, a drain and a killed relay, shown as it goes and summed
-up."""
+"""The demonstration: a small fleet in trouble, shown as it goes and summed up."""
 
 from __future__ import annotations
 
--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -1,5 +1,4 @@
-"""What a scenario file may say, checked into immutable values; times here are seconds, as people write
-them."""
+"""What a scenario file may say, checked into immutable values; times here are seconds."""
 
 from __future__ import annotations
 
--- a/cedarledge/rig/schedule.py
+++ b/cedarledge/rig/schedule.py
@@ -1,5 +1,4 @@
-"""Makes a plan of a scenario: sizes, boxes, and what happens when. A function of its arguments and the seed
-alone."""
+"""Makes a plan of a scenario: sizes, boxes, and what happens when, by its arguments and the seed alone."""
 
 from __future__ import annotations
 
--- a/cedarledge/rig/variants.py
+++ b/cedarledge/rig/variants.py
@@ -1,5 +1,4 @@
-"""How the relays of a run are started: as they are, with an operator file, from a checkout, or as a
-baseline."""
+"""How the relays of a run are started: as they are, with a file, from a checkout, or as a baseline."""
 
 from __future__ import annotations
 
--- a/cedarledge/standins/boxes.py
+++ b/cedarledge/standins/boxes.py
@@ -1,5 +1,4 @@
-"""Stand-in feed boxes: many in one process, each with an address for every relay, speaking the platform's
-lines.
+"""Stand-in feed boxes: many in one process, each with an address for every relay.
 
 What is read here is cut and parsed apart from the relay's own parsers, so that a fault there is not shared.
 """
--- a/cedarledge/standins/discovery.py
+++ b/cedarledge/standins/discovery.py
@@ -1,5 +1,4 @@
-"""Stand-in discovery: one address for each relay, whole lists and watches over HTTP/1.1, and what goes wrong
-there."""
+"""Stand-in discovery: an address for each relay, lists and watches over HTTP/1.1, and what goes wrong."""
 
 from __future__ import annotations
 
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -1,5 +1,4 @@
-"""Judges a run by the stand-ins' books alone: the rules, and the figures. No I/O, no clock, no word of a
-relay's.
+"""Judges a run by the stand-ins' books alone. No I/O, no clock, no word of a relay's.
 
 The rules are the platform's, with its 50 ms for the way. Where a relay was killed the tunnels that it held
 are their clients' to open again; where a stand-in ran late the run says so and counts for nothing.
--- a/cedarledge/standins/worker.py
+++ b/cedarledge/standins/worker.py
@@ -1,5 +1,4 @@
-"""One process of the stand-in fleet: told on standard input what it is to play, it tells each second how it
-goes."""
+"""One process of the stand-in fleet: told on standard input what to play, it tells how it goes."""
 
 from __future__ import annotations
 
