--- a/cedarledge/net/seams.py
+++ b/cedarledge/net/seams.py
@@ -1,4 +1,4 @@
-"""Where a running relay is added to without touching its middle: fronts, hearers, facts."""
+"""Where a running relay is added to without touching its middle: fronts, hearers, facts.
 
 - A *front* makes tunnels of whatever protocol and takes their answers. It calls a Taker, and its connections
   understand what ClientEnd lists. `clients.Listener` is the one in use.
