--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -6,10 +6,12 @@
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import json
 import os
 import sys
+import tomllib
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -19,6 +21,7 @@
 
 from cedarledge import __version__
 from cedarledge.operator.tables import BadFileError
+from cedarledge.rig.variants import BASELINES
 
 BROKEN, UNUSABLE, LATE = 1, 2, 3
 
@@ -104,13 +107,13 @@
     out: str | None,
     report: str | None,
 ) -> Any:
-    from cedarledge.rig.run import RunError, run_plan
+    from cedarledge.rig.run import RunError, TooSlowError, run_plan
 
     try:
         verdict = run_plan(plan, variant, progress, Path(keep) if keep else None)
     except RunError as why:
         click.echo(f"cedarledge: {why}", err=True)
-        sys.exit(LATE if "in time" in str(why) else BROKEN)
+        sys.exit(LATE if isinstance(why, TooSlowError) else BROKEN)
     if out:
         told = verdict.flat() | {"variant": variant.name}
         Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(told), indent=1))
@@ -138,7 +141,7 @@
 @_sizes
 @click.option(
     "--policy",
-    type=click.Choice(["cedarledge", "random", "fewest", "hash", "pass"]),
+    type=click.Choice(["cedarledge", *BASELINES]),
     default="cedarledge",
     show_default=True,
     help="A baseline in the relays' place.",
@@ -194,7 +197,6 @@
 def _arguments(what: str, scenario: str) -> list[str]:
     """How one side of a comparison is run: a checkout, an operator file, a baseline, or a scenario."""
     from cedarledge.rig.scenario import shipped
-    from cedarledge.rig.variants import BASELINES
 
     if what in shipped():
         return [what]
@@ -205,8 +207,10 @@
     if Path(what).is_dir():
         return [scenario, "--checkout", what]
     if Path(what).is_file():
-        raw = Path(what).read_text()
-        return [what] if "title" in raw.split("[", 1)[0] else [scenario, "--file", what]
+        with contextlib.suppress(ValueError), Path(what).open("rb") as file:
+            if "title" in tomllib.load(file):
+                return [what]
+        return [scenario, "--file", what]
     raise click.BadParameter(f"{what!r} is no scenario, baseline, file or checkout")
 
 
--- a/cedarledge/net/logs.py
+++ b/cedarledge/net/logs.py
@@ -6,7 +6,9 @@
 import os
 import select
 import sys
+import traceback
 from collections import deque
+from functools import cache
 from typing import Any
 
 from loguru import logger
@@ -25,7 +27,7 @@
 
     def __init__(self, fd: int, most: int = WAITING) -> None:
         self._fd = fd
-        self._most = most
+        self.most = most
         self._waiting: deque[bytes] = deque()
         self._size = 0
         self.dropped = 0
@@ -35,7 +37,7 @@
 
     def __call__(self, message: str) -> None:
         line = message.encode("utf-8", "replace")
-        if self._size + len(line) > self._most:
+        if self._size + len(line) > self.most:
             self.dropped += 1
         else:
             self._waiting.append(line)
@@ -72,7 +74,7 @@
     told.pop("as_json", None)
     told["message"] = record["message"]
     if record["exception"] is not None:
-        told["exception"] = repr(record["exception"].value)
+        told["exception"] = "".join(traceback.format_exception(*record["exception"]))
     record["extra"]["as_json"] = json.dumps(told, default=str)
     return "{extra[as_json]}\n"
 
@@ -84,13 +86,18 @@
         logger.opt(exception=failure and failure.value).error("{}", formatEvent(event))
 
 
-def log_to_stderr(level: str, form: str = "text", waiting: int = WAITING) -> NeverWaiting:
+@cache
+def _stderr() -> NeverWaiting:
+    """One for the process: what waits in it, and what it has dropped, outlive a change of how lines look."""
+    return NeverWaiting(sys.stderr.fileno())
+
+
+def log_to_stderr(level: str, form: str = "text", waiting: int = WAITING) -> None:
     """Sends all log lines there; called again it replaces how. LOGURU_LEVEL goes before the level given."""
+    _stderr().most = waiting
     logger.remove()
-    sink = NeverWaiting(sys.stderr.fileno(), waiting)
-    logger.add(sink, format=as_json if form == "json" else TEXT, backtrace=False,
+    logger.add(_stderr(), format=as_json if form == "json" else TEXT, backtrace=False,
                level=os.environ.get("LOGURU_LEVEL") or level.upper())
-    return sink
 
 
 def begin_logging() -> None:
--- a/cedarledge/operator/file.py
+++ b/cedarledge/operator/file.py
@@ -25,6 +25,10 @@
     # So much may wait for a reader that has stopped reading; past it lines are dropped and counted.
     waiting_kb: Annotated[int, Meta(ge=4, le=16384)] = 256
 
+    def __post_init__(self) -> None:
+        if self.events and self.level in ("warning", "error"):
+            raise ValueError(f"events: they are logged at 'info', which level = {self.level!r} hides")
+
 
 class BoxesTable(msgspec.Struct, frozen=True):
     """Boxes that operators treat in a way of their own."""
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -17,12 +17,12 @@
 from typing import Any
 
 import msgspec
-from twisted.internet.protocol import ProcessProtocol, Protocol
+from twisted.internet.protocol import ProcessProtocol
 
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.rig.variants import Variant
 from cedarledge.standins.books import Book, Late, Life, read_books
-from cedarledge.standins.clients import connect
+from cedarledge.standins.clients import Ping, connect
 from cedarledge.standins.discovery import Discovery
 from cedarledge.standins.judge import Judge, Verdict
 from cedarledge.standins.plan import Act, Plan, Post, discovery_address, relay_address
@@ -47,6 +47,10 @@
     """The run could not be made."""
 
 
+class TooSlowError(RunError):
+    """This machine did not have the processes ready in time."""
+
+
 def free_port() -> tuple[int, socket.socket]:
     """A port that no other run here uses, and the socket that says so; below those that systems hand out."""
     chance = random.SystemRandom()
@@ -94,21 +98,6 @@
             )
 
 
-class Answers(Protocol):
-    """Asks a relay that was started whether it is there."""
-
-    def __init__(self, heard: Callable[[], None]) -> None:
-        self.heard = heard
-
-    def connectionMade(self) -> None:  # noqa: N802
-        self.transport.write(b"PING\r\n")
-
-    def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        self.transport.abortConnection()
-        if data.startswith(b"PONG"):
-            self.heard()
-
-
 class RelayProcess(ProcessProtocol):
     """One process of a relay, from its start to its end."""
 
@@ -137,7 +126,8 @@
 
     def _ask(self) -> None:
         if self.ready is None and not self.over:
-            connect(self.run.reactor, self.relay, self.run.port, Answers(self._answers), lambda _why: None)
+            ping = Ping(self.run.deadlines, self._answers)
+            connect(self.run.reactor, self.relay, self.run.port, ping, lambda _why: None)
             self.run.deadlines.after(READY_EVERY, self._ask)
 
     def _answers(self) -> None:
@@ -224,7 +214,7 @@
         self.discovery = Discovery(stage, self.begin_unix_ms)
         self.workers: list[WorkerProcess] = []
         self.relays: dict[int, RelayProcess] = {}
-        self.failure = ""
+        self.failure: RunError | None = None
         for role, count in parts.items():
             for part in range(count):
                 book = folder / f"{role}-{part}.book"
@@ -253,7 +243,7 @@
         self.deadlines.after(-self.now(), self._begin)
 
     def start_relay(self, relay: int) -> None:
-        if self.now() >= self.plan.seconds * SECOND or self.failure:
+        if self.now() >= self.plan.seconds * SECOND or self.failure is not None:
             return
         path = self.folder / f"relay-{relay}.json"
         chance = random.Random(self.plan.seed * 7919 + relay * 31 + (self.now() > 0))
@@ -283,11 +273,11 @@
     def _begin(self) -> None:
         slow = [worker for worker in self.workers if not worker.ready]
         if slow:
-            self.fail(f"{len(slow)} of {len(self.workers)} stand-in processes were not ready in time")
+            self.fail(f"{len(slow)} of {len(self.workers)} stand-ins were not ready in time", TooSlowError)
             return
         unready = [relay for relay, process in self.relays.items() if process.ready is None]
         if unready:
-            self.fail(f"relays {unready} were not ready in time; see {self.folder}")
+            self.fail(f"relays {unready} were not ready in time; --keep keeps their logs", TooSlowError)
             return
         self.lateness.begin()
         self.discovery.begin()
@@ -344,10 +334,10 @@
         self.book.write(Late("rig", self.lateness.worst, self.lateness.at))
         self.reactor.stop()
 
-    def fail(self, why: str) -> None:
-        if self.failure:
+    def fail(self, why: str, kind: type[RunError] = RunError) -> None:
+        if self.failure is not None:
             return
-        self.failure = why
+        self.failure = kind(why)
         for process in self.relays.values():
             process.restarts = False
             process.end("over", "KILL")
@@ -382,6 +372,6 @@
         signal.signal(signal.SIGINT, previous)
         run.book.close()
         run.lock.close()
-        if run.failure:
-            raise RunError(run.failure)
+        if run.failure is not None:
+            raise run.failure
         return Judge(plan, read_books(run.books)).verdict()
--- a/cedarledge/rig/variants.py
+++ b/cedarledge/rig/variants.py
@@ -26,6 +26,8 @@
 ) -> Variant:
     """Raises BadFileError for what is not there."""
     if policy != "cedarledge":
+        if operator_file is not None or checkout is not None:
+            raise BadFileError([f"--policy {policy}: a baseline takes neither --file nor --checkout"])
         return Variant(policy, [sys.executable, "-m", "cedarledge.rig.baselines", policy])
     name, command, cwd = "cedarledge", [sys.executable, "-m", "cedarledge"], None
     env: dict[str, str] = {}
--- a/cedarledge/standins/books.py
+++ b/cedarledge/standins/books.py
@@ -27,7 +27,6 @@
     receipt: str = ""
     ended: int = -1
     by_box: bool = False  # the box ended it
-    lines: int = 0
     gaps: int = 0  # lines that never came or came twice, out of their numbers
     held: int = 0  # lines that were on their way for over a second
 
@@ -38,7 +37,6 @@
     tun: str
     relay: int
     profile: int
-    first: bool  # no retry, and no return of one that was moved
     began: int  # the line was handed over
     wait: int
     word: str = ""  # UP, BUSY, ERR, CLOSED, GAVE_UP, UNREACHED, or whatever else came
@@ -47,7 +45,6 @@
     more: int = 0  # answers after the last one
     ended: int = -1
     how: str = ""  # an open one's end: MOVE, BYE, cut, left, over
-    lines: int = 0
     gaps: int = 0
     held: int = 0
 
--- a/cedarledge/standins/box_model.py
+++ b/cedarledge/standins/box_model.py
@@ -46,7 +46,7 @@
         self.held = 0
         self.piled = 0.0  # ns of work for all cores together
         self.at = now
-        self._setups: deque[tuple[int, float, int]] = deque()  # when, work in core seconds, by which relay
+        self._setups: deque[tuple[int, float]] = deque()  # when, and work in core seconds
         self._over_since = -1
         self._reports: deque[tuple[int, Figures]] = deque()
         self._refreshed = -1
@@ -68,7 +68,7 @@
         """The load asked over what the box can do."""
         while self._setups and self._setups[0][0] < now - RECENT:
             self._setups.popleft()
-        fresh = sum(work for _, work, _ in self._setups) * SECOND / RECENT
+        fresh = sum(work for _, work in self._setups) * SECOND / RECENT
         return (self.load + fresh) / self.strength(now)
 
     def advance(self, now: int) -> None:
@@ -94,11 +94,11 @@
         self.advance(now)
         return not self.draining and self.held < self.plan.cap and self.piled <= self.terms.queue
 
-    def setup(self, now: int, relay: int, taken: bool) -> int:
+    def setup(self, now: int, taken: bool) -> int:
         """A new connection's work, also of one that is turned away; how long it takes, in ns."""
         part = 1.0 if taken else 0.2
         work = part * self.terms.setup / SECOND / self.plan.speed
-        self._setups.append((now, work, relay))
+        self._setups.append((now, work))
         return int(self.terms.round_trip + part * self.message(now))
 
     def opened(self, load: float) -> None:
--- a/cedarledge/standins/boxes.py
+++ b/cedarledge/standins/boxes.py
@@ -103,7 +103,6 @@
         if len(words) != 3 or words[0] != b"m" or not words[1].isdigit() or not words[2].isdigit():
             self.box.alien(self, line)
             return
-        entry.lines += 1
         entry.gaps += int(words[1]) != self.next_line
         self.next_line = int(words[1]) + 1
         entry.held += now - int(words[2]) > HELD_BACK
@@ -254,7 +253,7 @@
             self.after(FAST_ERROR, self._refuse, link, "ERR")
             return
         taken = model.takes(now)
-        took = model.setup(now, link.relay, taken)
+        took = model.setup(now, taken)
         if model.is_pushed_over(now):
             self._fall(now)
         elif taken:
--- a/cedarledge/standins/clients.py
+++ b/cedarledge/standins/clients.py
@@ -8,6 +8,7 @@
 
 import random
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
@@ -17,7 +18,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from cedarledge.net.deadlines import Deadline
+from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.standins.books import Call, Rude, Second
 from cedarledge.standins.plan import BAD_ID, Act, relay_address
 from cedarledge.standins.stage import Player, Stage
@@ -39,18 +40,17 @@
 
 
 class Ping(Protocol):
-    """The front's question whether a relay is there."""
+    """The question whether a relay is there."""
 
     transport: Any
 
-    def __init__(self, front: Front, relay: int) -> None:
-        self.front = front
-        self.relay = relay
-        self.heard = False
+    def __init__(self, deadlines: Deadlines, heard: Callable[[], None]) -> None:
+        self.deadlines = deadlines
+        self.heard = heard
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.write(b"PING\r\n")
-        self.front.deadlines.after(CONNECT_WITHIN, self._too_late)
+        self.deadlines.after(CONNECT_WITHIN, self._too_late)
 
     def _too_late(self) -> None:
         if self.transport.connected:
@@ -58,8 +58,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if data.startswith(b"PONG"):
-            self.heard = True
-            self.front.pong(self.relay)
+            self.heard()
         self.transport.abortConnection()
 
 
@@ -86,7 +85,8 @@
     def _ask(self, relay: int) -> None:
         every = self.plan.client_terms.front_every
         self.deadlines.after(int(every * (0.8 + 0.4 * self.chance.random())), self._ask, relay)
-        connect(self.reactor, relay, self.port, Ping(self, relay), lambda _why: self.stopping.discard(relay))
+        ping = Ping(self.deadlines, partial(self.pong, relay))
+        connect(self.reactor, relay, self.port, ping, lambda _why: self.stopping.discard(relay))
 
     def pong(self, relay: int) -> None:
         if relay not in self.stopping:
@@ -110,7 +110,7 @@
         self.call = call
         self.opening = opening
         self.rest = b""
-        self.out = self.back = 0
+        self.back = 0
         self.last_word = ""
         self.over = False
 
@@ -165,8 +165,6 @@
         self.person.echoed(int(words[1]), now)
 
     def send(self, number: int) -> None:
-        self.out += 1
-        self.call.lines += 1
         self.transport.write(b"m %d %d\r\n" % (number, self.crowd.now()))
 
     def leave(self, how: str) -> None:
@@ -209,8 +207,6 @@
     """One client: what it wants, and what it gets."""
 
     __slots__ = (
-        "backoff",
-        "call",
         "counted",
         "crowd",
         "due",
@@ -220,7 +216,6 @@
         "number",
         "profile",
         "sent_at",
-        "served_at",
         "tries",
     )
 
@@ -246,7 +241,7 @@
         wait = row.client_timeout
         marks = (",r=1" if self.tries else "") + (",again=1" if again else "")
         line = f"OPEN {tun} {self.key} c={row.name},d={wait // MS},g={self.key}{marks}\r\n"
-        call = Call(tun, relay, self.profile, not self.tries and not again, crowd.now(), wait)
+        call = Call(tun, relay, self.profile, crowd.now(), wait)
         self.link = link = CallLink(self, call, line.encode())
         connect(crowd.reactor, relay, crowd.port, link, lambda _why: self._unreached(link))
         self._wait(wait, self._gives_up, link)
--- a/cedarledge/standins/discovery.py
+++ b/cedarledge/standins/discovery.py
@@ -121,7 +121,7 @@
 
     def _must_know(self, revision: int, box: int, phase: str) -> None:
         """A relay that has not asked for so long counts as told: it may not shut its ears."""
-        if self.mode not in ("down", "cut"):
+        if self.mode not in ("down", "cut") and self.phases[box] == phase:
             for relay, heard in self.heard.items():
                 if heard < revision:
                     self.book.write(Told(self.now(), relay, box, phase, revision))
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -303,7 +303,7 @@
         if row.effect != "token" or later.whole > first.whole + row.window + GRACE:
             return False
         one, two = self.plan.boxes[first.box], self.plan.boxes[later.box]
-        return row.group == "all" or (row.group == "zone" and one.zone == two.zone) or one.cell == two.cell
+        return {"all": True, "zone": one.zone == two.zone, "cell": one.cell == two.cell}[row.group]
 
     # -- drains are kept ---------------------------------------------------------------------------
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -43,7 +43,7 @@
         "ended": 9 * SECOND,
         "how": "left",
     } | other
-    return Call("t1", 0, told.pop("profile"), True, told.pop("began"), 1200 * MS, word, **told)
+    return Call("t1", 0, told.pop("profile"), told.pop("began"), 1200 * MS, word, **told)
 
 
 def setup(box: int = 0, word: str = "UP", whole: int = SECOND + MS, **other: object) -> Setup:
@@ -168,6 +168,18 @@
     assert broken(*cut, killed(5 * SECOND, "stopped")) == {"cut_without_move"}
 
 
+def test_a_dedup_group_is_what_its_profile_says() -> None:
+    boxes = tuple(msgspec.structs.replace(PLAN.boxes[0], cell=cell, zone=zone)
+                  for cell, zone in ((0, "z1"), (0, "z2"), (1, "z1")))
+    allowed = {"all": {1, 2}, "zone": {2}, "cell": {1}}
+    for group, boxes_allowed in allowed.items():
+        rows = tuple(msgspec.structs.replace(row, group=group) for row in PLAN.profiles)
+        for box in (1, 2):
+            found = broken(call(profile=STATE), setup(0, "ERR", ended=SECOND + 17 * MS),
+                           setup(box, whole=SECOND + 20 * MS), boxes=boxes, profiles=rows)
+            assert found == (set() if box in boxes_allowed else {"ran_twice"})
+
+
 def test_lines_are_held_by_a_partition_and_not_by_the_relay() -> None:
     held = [call(), setup(held=2)]
     assert broken(*held) == {"lines_lost"}
@@ -215,7 +227,6 @@
             st.sampled_from("abc"),
             st.integers(0, 1),
             st.integers(0, 3),
-            st.booleans(),
             times,
             times,
             words,
--- a/tests/test_rig.py
+++ b/tests/test_rig.py
@@ -25,7 +25,7 @@
     "late_sends_after_drain",
 )
 # Judged by the rules alone: how well a fleet is served hangs on the machine, whether a rule holds does not.
-SHORT = ("errors", "drain", "lyinglist", "kill", "roll", "rude")
+SHORT = ("errors", "drain", "lyinglist", "kill", "roll", "rude", "returns")
 SIDE_BY_SIDE = 4
 
 SHORT_DRAIN = """
--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -114,6 +114,17 @@
     assert told["level"] == "INFO"
 
 
+def test_a_fault_keeps_its_traceback_in_json() -> None:
+    lines: list[str] = []
+    number = logger.add(lines.append, format=as_json)
+    try:
+        raise ValueError("on purpose")
+    except ValueError:
+        logger.exception("failed")
+    logger.remove(number)
+    assert "test_a_fault_keeps" in json.loads(lines[0])["exception"]
+
+
 def test_every_problem_of_a_file_is_told_with_its_place(tmp_path: Path) -> None:
     path = tmp_path / "bad.toml"
     path.write_text(
@@ -134,6 +145,8 @@
         read_operator_file(path)
     with raises(BadFileError, match="No such file"):
         read_operator_file(tmp_path / "none.toml")
+    with raises(BadFileError, match=r"log: events: .* level = 'warning' hides"):
+        read_tables({"log": {"level": "warning", "events": ["moved"]}}, OperatorFile)
     with raises(BadFileError, match=r"boxes: aside: 'a' is there twice"):
         read_tables({"boxes": {"aside": ["a", "a"]}}, OperatorFile)
 
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -105,7 +105,7 @@
         elif what == "e" and held:
             model.ended(held.pop())
         elif what == "s":
-            assert model.setup(now, 0, taken=size > 1) >= TERMS.round_trip
+            assert model.setup(now, taken=size > 1) >= TERMS.round_trip
         assert 0 < model.message(now) <= MOST_PILED + 1000 * MS
         assert 0 <= model.piled <= MOST_PILED
         assert model.report(now).held >= 0
@@ -170,6 +170,7 @@
         (["rig", "list"], 0, "lyinglist"),
         (["rig", "run", "none"], 2, "no scenario of that name"),
         (["check", "none.toml"], 2, "none.toml"),
+        (["rig", "run", "calm", "--policy", "hash", "--checkout", "."], 2, "takes neither --file nor"),
         (["rig", "compare", "random", "none"], 2, "no scenario, baseline, file or checkout"),
         (["rig", "compare", "random", "hash", "--seeds", "x"], 2, "no span of seeds"),
         (["none"], 2, "No such command"),
