--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -61,6 +61,8 @@
 TICK_TOKEN, LIST_TOKEN, LOOK_TOKEN = 1, 2, 3
 # A report older than this says nothing of the member's flag now: more was placed since than it shows.
 FRESH = 2 * SECOND
+# From this part of a tunnel's credit on, a crossing between locations costs more than an uneven load does.
+DEAR = 0.05
 # So many cells may be tried for a tunnel: work for one must not grow with the fleet.
 SPILL = 6
 # How many members are looked at for one tunnel, within this part of its setup goal.
@@ -78,6 +80,8 @@
 GUESS_MOST = 0.35
 # Past this a report tells of work piled up more than of what the connections ask.
 SOUND_LOAD = 1.2
+# How fast a report loses its say in the fleet's mean.
+REPORT_LIFE = 4 * SECOND
 # How long a mean is gone by, for each member that it is made of.
 FLEET_CARE = 4 * MS
 # So many members' reports give a fair mean, however large the fleet.
@@ -119,6 +123,7 @@
         self.load = 0.0
         self.lately = Fading(SECOND)
         self.tuns: dict[int, Tunnel] = {}
+        self.groups: Counter[str | None] = Counter()
         self.started = -1
         self.probe_at = self.drain_by = 0
         self.standing = Standing.GONE
@@ -316,7 +321,9 @@
                 asked = self._surely(now, member)
                 # A cold member's idle cores can't be had at will, so they are no reason to call others busy.
                 if asked >= 0 and not self._is_out(now, member) and not self._is_cold(now, member):
-                    size = self._capacity(now, member) or 1.0
+                    # A relay that probes once in seconds has seen most members long ago: what a storm left in
+                    # those reports would have it give way for half a minute after the fleet is empty.
+                    size = (self._capacity(now, member) or 1.0) * math.exp((member.seen_at - now) / REPORT_LIFE)
                     total += min(asked, 3.0) * size
                     weight += size
         return total / weight if weight else -1.0
@@ -475,37 +482,44 @@
         """The ordinary path, and the departures for when its cell has no member to offer."""
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
+        # Each member that holds any of a group pays for the group: a flag that follows the fleet's mean would
+        # pass over half of the members, and spread every group over many.
+        shares = self.facts.grouped and tun.group is not None
         limit = min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
         if tun.listing != self.listing:
             tun.listing, tun.seed = self.listing, digest_of(home)
-            tun.cells = sorted(self.cells, key=lambda cell: len(self.cells[cell])
-                               / math.log(draw_of(tun.seed, cell)))[:SPILL]
+            # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location.
+            tun.cells = sorted(self.cells, key=lambda cell: (
+                self.facts.crossing >= DEAR and self.cells[cell][0].zone != self.facts.zone,
+                len(self.cells[cell]) / math.log(draw_of(tun.seed, cell))))[:SPILL]
         size = self._size(now, tun)
         yields = tun.setups == 0 and self._gives_way(now, tun)
         fallback: list[Member] = []
         last: list[Member] = []
         drowning = 0
         for place, cell in enumerate(tun.cells):
-            members = [member for member in self.cells[cell] if self._may_follow(now, tun, member)
+            ranked = self.cells[cell]
+            if shares:
+                ranked = sorted(ranked, key=lambda member: member.weight / math.log(draw_of(tun.seed, member.mark)))
+            members = [member for member in ranked if self._may_follow(now, tun, member)
                        and self._cold_allows(now, member, size)]
             if yields:
                 # A full fleet's cold members still have a budget that nobody else's tunnels need.
                 members = [member for member in members if self._is_cold(now, member)]
             sound = [member for member in members if not self._is_out(now, member)]
             free = [member for member in sound if not self._is_busy(now, member, limit)]
-            if self.facts.grouped and tun.group:
-                free.sort(key=lambda member: member.weight / math.log(draw_of(tun.seed, member.mark)))
-            mean = sum(member.open for member in self.cells[cell]) / len(self.cells[cell])
+            mean = sum(member.open for member in ranked) / len(ranked)
             if free:
                 # What a cold member may be sent is little and soon lapses, so it goes before the others.
                 free.sort(key=lambda member: not self._is_cold(now, member))
                 for member in free:
-                    if self._standing_count(now, member, mean) <= max(1.0, SKIP_FACTOR * mean):
+                    together = member.groups[tun.group] if shares else 0
+                    if self._standing_count(now, member, mean) - together <= max(1.0, SKIP_FACTOR * mean):
                         return member, "spill" if place else "rank" if member is free[0] else "skip"
                 return min(free, key=lambda member: self._standing_count(now, member, mean)), "skip"
             # A cell may be full while others have room, as keys spread unevenly: the key's next cell.
-            fallback = fallback or [(self._standing_count(now, member, mean), member.tie, member)
-                                    for member in sound if now >= member.full_until
+            fallback = fallback or [(self._standing_count(now, member, mean), rank, member)
+                                    for rank, member in enumerate(sound) if now >= member.full_until
                                     and self._surely(now, member) <= DROWNING]
             drowning += len(sound)
             last += members
@@ -613,6 +627,7 @@
         member.open += 1
         member.load += tun.load
         member.tuns[tun_id] = tun
+        member.groups[tun.group] += 1
         self.holding[member.ep] = member
         self.tenant_open[tun.tenant] += 1
         member.lately.add(now, tun.load)
@@ -621,6 +636,7 @@
         member.open -= 1
         member.load -= tun.load
         del member.tuns[tun_id]
+        member.groups[tun.group] -= 1
         if not member.tuns:
             del self.holding[member.ep]
         self.tenant_open[tun.tenant] -= 1
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -89,6 +89,7 @@
         grouped=bool(domain.get("groups")),
         quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
         over_share_credit=float(settings.get("overage_credit", 1)),
+        crossing=float((settings.get("prices") or {}).get("cross_zone") or 0),
     )
 
 
