--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -62,7 +62,7 @@
 # A report older than this says nothing of the member's flag now: more was placed since than it shows.
 FRESH = 2 * SECOND
 # From this part of a tunnel's credit on, a crossing between locations costs more than an uneven load does.
-DEAR = 0.05
+DEAR, SPARE = 0.05, 0.7
 # So many cells may be tried for a tunnel: work for one must not grow with the fleet.
 SPILL = 6
 # How many members are looked at for one tunnel, within this part of its setup goal.
@@ -82,6 +82,7 @@
 SOUND_LOAD = 1.2
 # How fast a report loses its say in the fleet's mean.
 REPORT_LIFE = 4 * SECOND
+FITS = 0.5
 # How long a mean is gone by, for each member that it is made of.
 FLEET_CARE = 4 * MS
 # So many members' reports give a fair mean, however large the fleet.
@@ -194,7 +195,8 @@
         self.asked_for = [Fading(60 * SECOND) for _ in rows]
         self.line = [(0.0, 1.0) for _ in rows]
         self.yielding = self.rate = self.arrival_rate = 0.0
-        self.fleet, self.fleet_until = -1.0, 0
+        self.fleet = self.nearby = -1.0
+        self.fleet_until = 0
         self.capacity: dict[int, tuple[Fading, Fading]] = {}
         self.arrivals, self.retries = Fading(10 * SECOND), Fading(10 * SECOND)
         self.met: set[str] = set()
@@ -202,6 +204,7 @@
         self.in_flight, self.window = 0, math.inf
         self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
         self.tenant_open: Counter[int | None] = Counter()
+        self.groups: Counter[str | None] = Counter()
         self.next_probe = facts.now
         self.stop_by = self.first_looks = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
@@ -310,12 +313,13 @@
         # Summed for each tunnel it would cost a large fleet more than all else; it moves slowly there.
         if now >= self.fleet_until:
             self.fleet_until = now + max(TICK, self.ready * FLEET_CARE)
-            self.fleet = self._fleet_mean(now)
+            self.fleet, self.nearby = self._means(now)
             self._learn_rate(now)
         return self.fleet
 
-    def _fleet_mean(self, now: int) -> float:
-        total = weight = 0.0
+    def _means(self, now: int) -> tuple[float, float]:
+        """The mean load that the ready members report, in all and in this relay's location; -1 while unknown."""
+        totals, weights = [0.0, 0.0], [0.0, 0.0]
         for cell in self.cells.values():
             for member in cell:
                 asked = self._surely(now, member)
@@ -324,9 +328,11 @@
                     # A relay that probes once in seconds has seen most members long ago: what a storm left in
                     # those reports would have it give way for half a minute after the fleet is empty.
                     size = (self._capacity(now, member) or 1.0) * math.exp((member.seen_at - now) / REPORT_LIFE)
-                    total += min(asked, 3.0) * size
-                    weight += size
-        return total / weight if weight else -1.0
+                    for place in (0, 1) if member.zone == self.facts.zone else (0,):
+                        totals[place] += min(asked, 3.0) * size
+                        weights[place] += size
+        fleet, near = (total / weight if weight else -1.0 for total, weight in zip(totals, weights, strict=True))
+        return fleet, near
 
     def _is_busy(self, now: int, member: Member, limit: float) -> bool:
         if now < member.full_until:
@@ -347,6 +353,9 @@
             # Setting members aside one after the other would only herd the rest.
             self.window = max(1.0, 0.7 * min(self.window, self.in_flight + 1))
             return
+        self._set_aside(now, member)
+
+    def _set_aside(self, now: int, member: Member) -> None:
         member.strikes += 1
         hold = min(OUT_FIRST << min(member.strikes - 1, 6), OUT_LONGEST)
         member.out_until = now + int(hold * (0.8 + 0.4 * self.chance()))
@@ -480,18 +489,12 @@
 
     def _pick(self, now: int, tun: Tunnel) -> tuple[Member | None, str]:
         """The ordinary path, and the departures for when its cell has no member to offer."""
-        home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
         fleet = self._fleet(now)
-        # Each member that holds any of a group pays for the group: a flag that follows the fleet's mean would
-        # pass over half of the members, and spread every group over many.
-        shares = self.facts.grouped and tun.group is not None
         limit = min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
-        if tun.listing != self.listing:
-            tun.listing, tun.seed = self.listing, digest_of(home)
-            # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location.
-            tun.cells = sorted(self.cells, key=lambda cell: (
-                self.facts.crossing >= DEAR and self.cells[cell][0].zone != self.facts.zone,
-                len(self.cells[cell]) / math.log(draw_of(tun.seed, cell))))[:SPILL]
+        if self.facts.grouped and tun.group is not None and fleet > SPARE and self._fits(tun):
+            limit = DROWNING
+        shares = self.facts.grouped and tun.group is not None
+        self._rank_cells(tun)
         size = self._size(now, tun)
         yields = tun.setups == 0 and self._gives_way(now, tun)
         fallback: list[Member] = []
@@ -500,7 +503,7 @@
         for place, cell in enumerate(tun.cells):
             ranked = self.cells[cell]
             if shares:
-                ranked = sorted(ranked, key=lambda member: member.weight / math.log(draw_of(tun.seed, member.mark)))
+                ranked = sorted(ranked, key=lambda member: self._group_rank(tun, member))
             members = [member for member in ranked if self._may_follow(now, tun, member)
                        and self._cold_allows(now, member, size)]
             if yields:
@@ -530,6 +533,27 @@
             return None, ""
         return min(last, key=lambda member: (member.out_until, member.tie)), "last"
 
+    def _rank_cells(self, tun: Tunnel) -> None:
+        if tun.listing == self.listing:
+            return
+        home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
+        # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location. Not in a
+        # fleet that is nearly full: a group that lies in both locations is paid for in both.
+        near = self.facts.crossing >= DEAR and 0 <= self.nearby < SPARE
+        tun.listing, tun.seed = self.listing, digest_of(home)
+        tun.cells = sorted(self.cells, key=lambda cell: (
+            near and self.cells[cell][0].zone != self.facts.zone,
+            len(self.cells[cell]) / math.log(draw_of(tun.seed, cell))))[:SPILL]
+
+    def _fits(self, tun: Tunnel) -> bool:
+        """Whether a group is small enough for one member, as far as this relay's own connections tell."""
+        more = self.groups[tun.group] - 1
+        return more * self.ready * max(self.fleet, 0.0) <= FITS * len(self.tuns)
+
+    def _group_rank(self, tun: Tunnel, member: Member) -> float:
+        """Its group's order of a cell's members, the same at every relay."""
+        return member.weight / math.log(draw_of(tun.seed, member.mark))
+
     def _standing_count(self, now: int, member: Member, mean: float) -> float:
         if member.asked < 0 or self._is_cold(now, member):
             return max(mean, member.open)
@@ -630,6 +654,7 @@
         member.groups[tun.group] += 1
         self.holding[member.ep] = member
         self.tenant_open[tun.tenant] += 1
+        self.groups[tun.group] += 1
         member.lately.add(now, tun.load)
 
     def _release(self, now: int, tun_id: int, tun: Tunnel, member: Member) -> None:
@@ -640,6 +665,7 @@
         if not member.tuns:
             del self.holding[member.ep]
         self.tenant_open[tun.tenant] -= 1
+        self.groups[tun.group] -= 1
         member.lately.add(now, -tun.load)
 
     def adopted(self, now: int, tun_id: int, profile: int, tenant: int | None, key: str | None,
@@ -715,7 +741,8 @@
             self._learn_setup(now, 2 * took)
             self._strike(now, member)
         elif outcome is Outcome.CONNECT_FAILED:
-            self._strike(now, member)
+            # No store stands between: a lost location fails half of all setups, each by its own member's fault.
+            self._set_aside(now, member)
         elif outcome in (Outcome.ERROR, Outcome.RESET):
             # What no member takes is to blame itself: one bad client could set the whole fleet aside.
             tun.suspects.append(member)
@@ -913,8 +940,16 @@
         self.tuns[tun_id].moved = True
         self.host.move(tun_id)
 
+    def _strays(self, tun: Tunnel, member: Member) -> tuple[int, float]:
+        """How far down its group's order a member is: all relays move the same groups, which leave it whole."""
+        if not self.facts.grouped or tun.group is None:
+            return 0, 0.0
+        self._rank_cells(tun)
+        place = tun.cells.index(member.cell) if member.cell in tun.cells else SPILL
+        return place, self._group_rank(tun, member)
+
     def _move_from(self, now: int, member: Member, surplus: float, most: int) -> int:
-        settled = [(tun.load, tun_id) for tun_id, tun in member.tuns.items()
+        settled = [(self._strays(tun, member), tun.load, tun_id) for tun_id, tun in member.tuns.items()
                    if self._is_settled(now, tun)]
         settled.sort(reverse=True)
         moved = 0
@@ -922,7 +957,7 @@
         # once for each report that can show what the last draws did: together the relays move their part.
         shows = member.seen_at - member.eased_at > EASE
         draws = shows and len(settled) <= FEW_HELD
-        for load, tun_id in settled:
+        for _, load, tun_id in settled:
             if moved >= most or load <= 0:
                 break
             if load > surplus and not (draws and self.chance() * load < surplus):
