--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -46,7 +46,7 @@
 # Above this a backend answers late whatever it holds, so its clients are better off elsewhere.
 DROWNING = 0.95
 # Moves leave a member this much of what it can do, less what it needs to work off what is piled up.
-RELIEF, DRAIN_TIME, ROOM = 0.8, 2 * SECOND, 0.9
+RELIEF, DRAIN_TIME, ROOM, GROUP_ROOM = 0.8, 2 * SECOND, 0.9, 0.8
 MOVES_A_TICK = 2
 # How long a draining member's clients have to be moved in: it ends soon, and sends many away by itself.
 EMPTY_WITHIN = 4 * SECOND
@@ -162,6 +162,7 @@
         self.listing = -1  # the state of the list that its cells were ranked by
         self.seed = 0
         self.cells: list[int] = []
+        self.ranked: dict[int, list[Member]] = {}  # their members in its group's order
 
 
 def digest_of(text: str) -> int:
@@ -318,21 +319,25 @@
         return self.fleet
 
     def _means(self, now: int) -> tuple[float, float]:
-        """The mean load that the ready members report, in all and in this relay's location; -1 while unknown."""
-        totals, weights = [0.0, 0.0], [0.0, 0.0]
+        """The mean load that ready members report, in all and in this relay's location; -1 while unknown."""
+        near = far = near_size = far_size = 0.0
         for cell in self.cells.values():
             for member in cell:
-                asked = self._surely(now, member)
                 # A cold member's idle cores can't be had at will, so they are no reason to call others busy.
-                if asked >= 0 and not self._is_out(now, member) and not self._is_cold(now, member):
-                    # A relay that probes once in seconds has seen most members long ago: what a storm left in
-                    # those reports would have it give way for half a minute after the fleet is empty.
-                    size = (self._capacity(now, member) or 1.0) * math.exp((member.seen_at - now) / REPORT_LIFE)
-                    for place in (0, 1) if member.zone == self.facts.zone else (0,):
-                        totals[place] += min(asked, 3.0) * size
-                        weights[place] += size
-        fleet, near = (total / weight if weight else -1.0 for total, weight in zip(totals, weights, strict=True))
-        return fleet, near
+                if member.asked < 0 or self._is_out(now, member) or self._is_cold(now, member):
+                    continue
+                # A relay that probes once in seconds has seen most members long ago: what a storm left in
+                # those reports would have it give way for half a minute after the fleet is empty.
+                size = math.exp((member.seen_at - now) / REPORT_LIFE) * (self._capacity(now, member) or 1.0)
+                asked = min(self._surely(now, member), 3.0) * size
+                if member.zone == self.facts.zone:
+                    near += asked
+                    near_size += size
+                else:
+                    far += asked
+                    far_size += size
+        return ((near + far) / (near_size + far_size) if near_size + far_size else -1.0,
+                near / near_size if near_size else -1.0)
 
     def _is_busy(self, now: int, member: Member, limit: float) -> bool:
         if now < member.full_until:
@@ -501,9 +506,10 @@
         last: list[Member] = []
         drowning = 0
         for place, cell in enumerate(tun.cells):
-            ranked = self.cells[cell]
-            if shares:
-                ranked = sorted(ranked, key=lambda member: self._group_rank(tun, member))
+            ranked = tun.ranked.get(cell) if shares else self.cells[cell]
+            if ranked is None:
+                ranked = tun.ranked[cell] = sorted(
+                    self.cells[cell], key=lambda member: self._group_rank(tun, member))
             members = [member for member in ranked if self._may_follow(now, tun, member)
                        and self._cold_allows(now, member, size)]
             if yields:
@@ -537,10 +543,10 @@
         if tun.listing == self.listing:
             return
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
-        # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location. Not in a
-        # fleet that is nearly full: a group that lies in both locations is paid for in both.
+        # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location. Not while
+        # that is nearly full: a group that lies in both locations is paid for in both.
         near = self.facts.crossing >= DEAR and 0 <= self.nearby < SPARE
-        tun.listing, tun.seed = self.listing, digest_of(home)
+        tun.listing, tun.seed, tun.ranked = self.listing, digest_of(home), {}
         tun.cells = sorted(self.cells, key=lambda cell: (
             near and self.cells[cell][0].zone != self.facts.zone,
             len(self.cells[cell]) / math.log(draw_of(tun.seed, cell))))[:SPILL]
@@ -600,7 +606,9 @@
         if not self.yielding:
             return False
         start, width = self.line[tun.profile]
-        place = start + width * (draw_of(digest_of(tun.key), LINE_SALT) if tun.key else self.chance())
+        # A group gives way whole: what it shares is paid for until the last of it has gone.
+        who = (tun.group if self.facts.grouped else None) or tun.key
+        place = start + width * (draw_of(digest_of(who), LINE_SALT) if who else self.chance())
         if self._over_share(tun):
             place *= self.facts.over_share_credit
         return place < self.yielding
@@ -741,7 +749,7 @@
             self._learn_setup(now, 2 * took)
             self._strike(now, member)
         elif outcome is Outcome.CONNECT_FAILED:
-            # No store stands between: a lost location fails half of all setups, each by its own member's fault.
+            # No store stands between: in a lost location each fails by itself, and half of all setups do.
             self._set_aside(now, member)
         elif outcome in (Outcome.ERROR, Outcome.RESET):
             # What no member takes is to blame itself: one bad client could set the whole fleet aside.
@@ -818,7 +826,7 @@
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in self.holding.values()
-                    if now - member.probe_at >= every and member.standing is Standing.READY and (
+                    if now - member.probe_at >= 2 * every and member.standing is Standing.READY and (
                         member.strikes or max(member.asked, self._asked(now, member)) > DROWNING
                         or now < member.full_until)]
         if not doubtful and self.first_looks < min(len(self.tuns), self.ready):
@@ -896,7 +904,9 @@
             return
         if self.yielding > 0.02 and fleet > FULL:
             self._shed(now)
-        if fleet > ROOM:
+        # Where each member pays for a group that it holds any of, a move makes more load than it takes away,
+        # unless there is much room.
+        if fleet > (GROUP_ROOM if self.facts.grouped else ROOM):
             return
         sick = []
         for member in self.holding.values():
@@ -941,7 +951,7 @@
         self.host.move(tun_id)
 
     def _strays(self, tun: Tunnel, member: Member) -> tuple[int, float]:
-        """How far down its group's order a member is: all relays move the same groups, which leave it whole."""
+        """How far down its group's order a member is: all relays move the same groups."""
         if not self.facts.grouped or tun.group is None:
             return 0, 0.0
         self._rank_cells(tun)
