--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -543,8 +543,8 @@
         if tun.listing == self.listing:
             return
         home = (tun.group if self.facts.grouped else None) or tun.key or str(self.chance())
-        # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location. Not while
-        # that is nearly full: a group that lies in both locations is paid for in both.
+        # Where a crossing costs dear, a cell elsewhere comes after those of this relay's own location. Not
+        # while that is nearly full: a group that lies in both locations is paid for in both.
         near = self.facts.crossing >= DEAR and 0 <= self.nearby < SPARE
         tun.listing, tun.seed, tun.ranked = self.listing, digest_of(home), {}
         tun.cells = sorted(self.cells, key=lambda cell: (
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from cedarledge.words import check_settings
+
 Address = tuple[str, int]
 
 
@@ -42,6 +44,7 @@
     except (ValueError, RecursionError) as why:
         raise BadConfigError(f"{path}: not JSON: {why}") from why
     try:
+        check_settings(told["settings"])
         return StartingOrders(
             name=str(told["name"]),
             listen=address_of(told["listen"]),
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -60,6 +60,22 @@
         return LoadReport(**known)
 
 
+def check_settings(settings: Mapping[str, Any]) -> None:
+    """Raises ValueError with the place of the first thing about the deployment's shape that can't be used."""
+    relays = settings.get("group_size")
+    if relays is not None and (not isinstance(relays, int) or isinstance(relays, bool) or relays < 1):
+        raise ValueError(f"settings.group_size: expected a whole number from 1, got {relays!r}")
+    zone, zones = settings.get("zone"), settings.get("dcs")
+    if zone is not None and zones is not None and zone not in zones:
+        raise ValueError(f"settings.zone: {zone!r} is none of settings.dcs: {', '.join(map(str, zones))}")
+    prices = settings.get("prices")
+    if prices is not None and not isinstance(prices, Mapping):
+        raise ValueError(f"settings.prices: expected names with numbers, got {prices!r}")
+    crossing = (prices or {}).get("cross_zone", 0)
+    if isinstance(crossing, bool) or not isinstance(crossing, int | float) or not 0 <= crossing <= 1:
+        raise ValueError(f"settings.prices.cross_zone: expected a number from 0 to 1, got {crossing!r}")
+
+
 def site_facts(settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]) -> SiteFacts:
     allowed = settings["allowed"]
     safety = settings["safety"]
@@ -89,7 +105,7 @@
         grouped=bool(domain.get("groups")),
         quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
         over_share_credit=float(settings.get("overage_credit", 1)),
-        crossing=float((settings.get("prices") or {}).get("cross_zone") or 0),
+        crossing=float((settings.get("prices") or {}).get("cross_zone", 0)),
     )
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -368,3 +368,76 @@
         ledger.report(ep, 1.1)
     ledger.arrive(key="late", hint=0.01)
     assert ledger.declines, "by what the members themselves say it is full"
+
+
+def test_what_a_storm_left_in_old_reports_fades_from_the_fleets_mean() -> None:
+    ledger = fleet(20, 0.4, cells=4)
+    for ep in range(15):
+        ledger.report(ep, 2.0)
+    ledger.now += 16 * SECOND
+    for ep in range(15, 20):
+        ledger.report(ep, 0.4)
+    assert ledger.balancer._fleet(ledger.now) < 0.5
+
+
+def test_the_own_location_comes_first_where_a_crossing_is_dear_until_it_is_nearly_full() -> None:
+    ledger = fleet(8, 0.3, cells=4, crossing=0.1, zone=1)
+    ledger.run(SECOND)
+
+    def zones(name: str) -> set[int]:
+        return {placed(ledger, ledger.arrive(key=f"{name} {number}")) % 2 for number in range(30)}
+
+    assert zones("calm") == {1}
+    for ep in (1, 3, 5, 7):
+        ledger.report(ep, 0.8)
+    ledger.run(SECOND)
+    assert 0 in zones("full")
+
+
+def test_a_group_that_fits_stays_together_in_a_nearly_full_fleet() -> None:
+    for load, stays in ((0.3, False), (0.8, True)):
+        ledger = fleet(6, load, grouped=True)
+        home = placed(ledger, ledger.arrive(key="one", group="g"))
+        ledger.end(0, Outcome.DONE)
+        ledger.run(SECOND)
+        for ep in range(6):
+            ledger.report(ep, load if ep != home else 0.93)
+        ledger.balancer.fleet_until = 0
+        assert (placed(ledger, ledger.arrive(key="two", group="g")) == home) is stays
+
+
+def test_a_groups_own_connections_are_no_reason_to_split_it() -> None:
+    ledger = fleet(6, 0.3, grouped=True, relays=1)
+    assert len({placed(ledger, ledger.arrive(key=str(number), group="g")) for number in range(6)}) == 1
+
+
+def test_a_lost_location_is_no_shared_store() -> None:
+    ledger = fleet(12, 0.3, cells=4)
+    for number in range(40):
+        tun = ledger.arrive(key=str(number), budget=2 * SECOND)
+        while not ledger.cases[tun].answered and placed(ledger, tun) % 2:
+            ledger.now += 10 * MS
+            ledger.end(tun, Outcome.CONNECT_FAILED)
+    assert not ledger.declines and all(ledger.balancer.members[ep].strikes for ep in range(1, 12, 2))
+
+
+def test_groups_give_way_whole() -> None:
+    ledger = fleet(6, grouped=True)
+    ledger.balancer.yielding, ledger.balancer.line = 0.5, [(0.0, 1.0)] * 5
+    told_no = {}
+    for group in "abcdefghij":
+        tuns = [ledger.arrive(key=f"{group} {number}", group=group) for number in range(4)]
+        told_no[group] = {ledger.cases[tun].answered for tun in tuns}
+    assert all(len(said) == 1 for said in told_no.values()) and len(set.union(*told_no.values())) == 2
+
+
+def test_no_moves_in_a_grouped_fleet_that_is_nearly_full() -> None:
+    for grouped in (False, True):
+        ledger = fleet(4, 0.85, cells=1, grouped=grouped)
+        for _ in range(10):
+            ledger.adopt(0, hint=10.0)
+        ledger.run(3 * SECOND)
+        for ep in range(4):
+            ledger.report(ep, 1.1 if ep == 0 else 0.6)
+        ledger.run(2 * TICK)
+        assert bool(ledger.moves) is not grouped
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import signal
 import subprocess
 import sys
@@ -405,12 +406,14 @@
 def test_a_bad_new_configuration_is_one_logged_line_and_all_stays(tmp_path: Path) -> None:
     with Program(tmp_path, [Backend("a")]) as relay:
         start = len(relay.log.read_text().splitlines())
-        for number, text in enumerate(("{", "[]", '{"name":"n"}', "[" * 9999), start):
+        moved = json.dumps(relay.told | {"settings": relay.told["settings"] | {"zone": "nowhere"}})
+        for number, text in enumerate(("{", "[]", '{"name":"n"}', "[" * 9999, moved), start):
             relay.reload(text)
             until(lambda number=number: len(relay.log.read_text().splitlines()) > number)
             assert "can't be used" in relay.log.read_text().splitlines()[number]
         assert relay.client().open() == "UP r"
-        assert len(relay.log.read_text().splitlines()) == start + 4
+        assert len(relay.log.read_text().splitlines()) == start + 5
+        assert "settings.zone: 'nowhere'" in relay.log.read_text()
 
 
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path) -> None:
@@ -418,8 +421,10 @@
     good = ('{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
             '"limits":{"sockets":900},"known":{"revision":0,"members":[]},"settings":{}}')
     for text in ("", "{}", "[]", good, good.replace('"127.0.0.1:9"', '"nowhere"', 1),
-                 good.replace('"members":[]', '"members":5')):
+                 good.replace('"members":[]', '"members":5'),
+                 good.replace('"settings":{}', '"settings":{"prices":{"cross_zone":"dear"}}')):
         path.write_text(text)
         run = subprocess.run([sys.executable, "-m", "cedarledge"], env={"BALANCER_CONFIG": str(path)},
                              capture_output=True, timeout=20, check=False, text=True)
         assert run.returncode == 2 and run.stderr.startswith("cedarledge: ") and run.stderr.count("\n") == 1
+    assert "settings.prices.cross_zone: " in run.stderr
