--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -206,7 +206,7 @@
         self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
         self.tenant_open: Counter[int | None] = Counter()
         self.groups: Counter[str | None] = Counter()
-        self.next_probe = facts.now
+        self.next_probe = self.next_doubt = facts.now
         self.stop_by = self.first_looks = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
@@ -829,14 +829,19 @@
                     if now - member.probe_at >= 2 * every and member.standing is Standing.READY and (
                         member.strikes or max(member.asked, self._asked(now, member)) > DROWNING
                         or now < member.full_until)]
-        if not doubtful and self.first_looks < min(len(self.tuns), self.ready):
+        if doubtful:
+            # One in the time of a steady probe: in a storm that all relays feel, more of them cost the fleet more
+            # than the news is worth.
+            if now >= self.next_doubt:
+                self.next_doubt = now + every
+                self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
+        elif self.first_looks < min(len(self.tuns), self.ready):
             # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
             # A relay that holds little needs to know little, and all relays may have started together.
             self.first_looks += 1
             member = self._unseen_longest()
-            doubtful = [] if member.probe_at else [member]
-        if doubtful:
-            self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
+            if not member.probe_at:
+                self._ask(now, member)
 
     def _unseen_longest(self) -> Member:
         return next(member for member in self.turns.values() if member.standing is Standing.READY)
