--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -163,10 +163,10 @@
             self.report(ep, self.told.get(ep, 0.0))
         return tun
 
-    def adopt(self, ep: int, hint: float | None = None) -> int:
+    def adopt(self, ep: int, hint: float | None = None, group: str | None = None) -> int:
         tun = len(self.cases)
         self.cases[tun] = Case(0, self.now, self.now, True, [[ep, self.now, None, True]])
-        self.balancer.adopted(self.now, tun, 0, None, None, None, ep, hint)
+        self.balancer.adopted(self.now, tun, 0, None, None, group, ep, hint)
         return tun
 
     def open(self, tun: int) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,7 @@
 from helpers import MS, SECOND, START, fleet, listed
 from pytest import approx
 
-from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK
+from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK, digest_of, draw_of
 from cedarledge.terms import ListForm, Outcome, Standing
 
 
@@ -431,6 +431,25 @@
     assert all(len(said) == 1 for said in told_no.values()) and len(set.union(*told_no.values())) == 2
 
 
+def test_moves_take_the_groups_that_rank_the_member_lowest() -> None:
+    def place(group: str) -> int:
+        return sorted(range(4), key=lambda ep: -draw_of(digest_of(group), ep)).index(0)
+
+    names = [f"group {number}" for number in range(100)]
+    first, last = (next(name for name in names if place(name) == wanted) for wanted in (0, 3))
+    ledger = fleet(4, 0.4, cells=1, grouped=True, relays=1)
+    for number in range(40):
+        ledger.adopt(1 + number % 3, hint=10.0)
+    for number in range(20):
+        ledger.adopt(0, hint=10.0, group=(first, last)[number % 2])
+    ledger.run(3 * SECOND)
+    for ep in range(4):
+        ledger.report(ep, 1.1 if ep == 0 else 0.3)
+    ledger.run(2 * TICK)
+    moved = [ledger.balancer.tuns[tun].group for tun in ledger.moves]
+    assert moved and set(moved) == {last}
+
+
 def test_a_grouped_fleet_declines_sooner_and_lets_nobody_go() -> None:
     for grouped, load in ((True, 0.78), (False, 0.78), (True, 0.93), (False, 0.93)):
         ledger = fleet(4, load, cells=1, grouped=grouped)
