--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -115,7 +115,7 @@
     fleet.asked = {"old": [0, 0], "new": [0, 0]}
     fleet.run(48 * SECOND, 45)  # half as much again as all can hold
     old, new = fleet.opened()
-    # Grouped fleets are kept 0.7 full, so 0.47 of such a crowd is what can be opened.
+    # A full fleet could open two thirds of such a crowd; a grouped one is kept less than full.
     assert min(old, new) > 0.3 and abs(old - new) < 0.15, (old, new)
 
 
