Clearing up: credit counted by work, and the earlier deployments' tables

Credit by work was told by the latter alone: all four remaining site files say worth_by = request, and so do the settings in the taps of both new ones.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -624,8 +624,7 @@
         weights = [usual[place] * (self.asked_for[place].read(now) + 0.1) for place in range(len(rows))]
         total = sum(weights)
         start = 0.0
-        for place in sorted(range(len(rows)), key=lambda place: rows[place].credit / (
-                1.0 if self.facts.by_work else usual[place])):
+        for place in sorted(range(len(rows)), key=lambda place: rows[place].credit / usual[place]):
             width = weights[place] / total
             self.line[place] = (start, width)
             start += width
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -110,7 +110,6 @@
     warm_within: int
     fall_multiple: float
     fall_span: int
-    by_work: bool
     grouped: bool
     quotas: tuple[float, ...]  # open connections within each tenant's share; 0: not told
     over_share_credit: float
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -101,7 +101,6 @@
         warm_within=int(safety["warm_within"]) * US,
         fall_multiple=float(safety["fall_multiple"]),
         fall_span=int(safety["overload_for"]) * US,
-        by_work=settings.get("credit_basis") == "work",
         grouped=bool(domain.get("groups")),
         quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
         over_share_credit=float(settings.get("overage_credit", 1)),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -47,7 +47,7 @@
     plain: dict = dict(
         now=START, seed=1, me=0, relays=2, zone=0, profiles=rows, ranked=False, must_ask=True,
         ask_every=10 * SECOND, probes=True, delays_told=True, come_back_max=SECOND, most_setups=4,
-        cold_from=0.2, warm_within=10 * SECOND, fall_multiple=3.0, fall_span=2 * SECOND, by_work=False,
+        cold_from=0.2, warm_within=10 * SECOND, fall_multiple=3.0, fall_span=2 * SECOND,
         grouped=False, quotas=(), over_share_credit=1.0)
     return SiteFacts(**(plain | other))
 
