--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -85,6 +85,7 @@
 SOUND_LOAD = 1.2
 # How fast a report loses its say in the fleet's mean.
 REPORT_LIFE = 4 * SECOND
+# A group that asks more than this part of a member is too large to stay with one.
 FITS = 0.5
 # How long a mean is gone by, for each member that it is made of.
 FLEET_CARE = 4 * MS
@@ -184,7 +185,6 @@
     def __init__(self, host: Host, facts: SiteFacts) -> None:
         self.host = host
         self.facts = facts
-        self.full = SPARE if facts.grouped else FULL
         self.outlook = Outlook()
         self.young_until = facts.now + YOUNG
         self.chance = random.Random(facts.seed).random
@@ -500,9 +500,9 @@
         """The ordinary path, and the departures for when its cell has no member to offer."""
         fleet = self._fleet(now)
         limit = min(max(fleet, BUSY_FLOOR), BUSY_CEILING)
-        if self.facts.grouped and tun.group is not None and fleet > SPARE and self._fits(tun):
-            limit = DROWNING
         shares = self.facts.grouped and tun.group is not None
+        if shares and fleet > SPARE and self._fits(tun):
+            limit = DROWNING
         self._rank_cells(tun)
         size = self._size(now, tun)
         yields = tun.setups == 0 and self._gives_way(now, tun)
@@ -631,7 +631,7 @@
 
     def _weigh(self, now: int, fleet: float) -> None:
         """Follows how much of the load must give way for the rest to be served."""
-        if fleet > self.full or self.yielding:
+        if fleet > (SPARE if self.facts.grouped else FULL) or self.yielding:
             self._line_up(now)
             wanted = max(0.0, 1 - (1 - self.yielding) * FULL / max(fleet, 0.1))
             if self.facts.grouped:
@@ -666,21 +666,25 @@
         member.open += 1
         member.load += tun.load
         member.tuns[tun_id] = tun
-        member.groups[tun.group] += 1
         self.holding[member.ep] = member
         self.tenant_open[tun.tenant] += 1
-        self.groups[tun.group] += 1
+        if self.facts.grouped:
+            member.groups[tun.group] += 1
+            self.groups[tun.group] += 1
         member.lately.add(now, tun.load)
 
     def _release(self, now: int, tun_id: int, tun: Tunnel, member: Member) -> None:
         member.open -= 1
         member.load -= tun.load
         del member.tuns[tun_id]
-        member.groups[tun.group] -= 1
         if not member.tuns:
             del self.holding[member.ep]
         self.tenant_open[tun.tenant] -= 1
-        self.groups[tun.group] -= 1
+        if self.facts.grouped:
+            for held in (member.groups, self.groups):
+                held[tun.group] -= 1
+                if not held[tun.group]:
+                    del held[tun.group]  # groups come and go for as long as a relay runs
         member.lately.add(now, -tun.load)
 
     def adopted(self, now: int, tun_id: int, profile: int, tenant: int | None, key: str | None,
@@ -704,6 +708,7 @@
         if tun is None or not tun.out or tun.opened_at:
             return
         tun.opened_at = max(1, now)
+        tun.ranked = {}  # thousands stay open for long
         member = self.members[tun.ep]
         member.pending -= 1
         member.strikes = 0
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -411,6 +411,16 @@
     assert len({placed(ledger, ledger.arrive(key=str(number), group="g")) for number in range(6)}) == 1
 
 
+def test_groups_that_have_gone_leave_nothing_behind() -> None:
+    ledger = fleet(4, 0.3, grouped=True)
+    for number in range(50):
+        tun = ledger.arrive(key=str(number), group=f"g{number}")
+        ledger.open(tun)
+        ledger.end(tun, Outcome.DONE)
+    assert not ledger.balancer.groups
+    assert not any(member.groups for member in ledger.balancer.members.values())
+
+
 def test_a_lost_location_is_no_shared_store() -> None:
     ledger = fleet(12, 0.3, cells=4)
     for number in range(40):
