--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -446,7 +446,7 @@
 
     def _place(self, now: int, tun_id: int, tun: Tunnel) -> None:
         # What all setups need answers none when all press it: no more go out than it was seen to bear.
-        crowded = self.in_flight >= self.window and self._is_shared(now)
+        crowded = 0 < self.stop_by <= now or (self.in_flight >= self.window and self._is_shared(now))
         member, rule = (None, "") if crowded else self._pick(now, tun)
         if member is None:
             self._give_up(now, tun_id, tun)
@@ -899,9 +899,14 @@
         self._relieve(now)
 
     def stopping(self, now: int, within: int) -> None:
-        """This relay ends then and cuts off what is still open; newcomers go on being placed."""
+        """This relay ends then, or is out of service: all are sent away by then; newcomers go on being placed
+        until then, since they were on their way, and are declined after."""
         self.stop_by = now + within
 
+    def staying(self, now: int) -> None:
+        """It is back in service, and who is still here stays."""
+        self.stop_by = 0
+
     def silent(self, now: int, tun_id: int) -> None:
         """Lines on an open tunnel get no answer: a hung or vanished backend, of which nothing else tells."""
         tun = self.tuns.get(tun_id)
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import re
-from typing import Any, NamedTuple
+from typing import NamedTuple
 
 from twisted.internet.interfaces import IAddress
-from twisted.internet.protocol import ServerFactory
 
-from cedarledge.net.config import Address
+from cedarledge.net.doors import Door
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
 from cedarledge.net.seams import Taker
@@ -18,9 +17,9 @@
 FIRST_LINE_WITHIN = 2500 * MS
 # Connections that are not tunnels yet, or no longer, and probes: what tunnels must leave free.
 SPARE_LINKS = 48
-# With less room than this each newcomer takes the place of an idle one. Twisted takes in up to 20 more at a
-# time than it is told to, and they fit in between: a place comes free only after them.
-ROOM, LAST_ROOM, AT_A_TIME = 40, 8, 4
+# With less room than the first each newcomer takes the place of an idle one, with less than the last it is
+# refused.
+ROOM, LAST_ROOM = 40, 8
 WAIT = re.compile(rb"(?:^|(?<=,))d=(\d{1,9})(?=,|$)")
 # No id, key or group comes near this. They stay in tables for as long as a tunnel lasts, keys in the module's
 # for longer, and a stranger could fill these with lines of the longest length.
@@ -114,7 +113,7 @@
             # makes nonsense.
             self.bad_input("more before the answer")
         elif lines[0] == b"PING":
-            self.send_line(b"PONG")
+            self.send_line(b"ERR" if self.listener.away else b"PONG")
         else:
             self._first_line(lines[0])
 
@@ -141,8 +140,7 @@
             self.taker.client_ended(self.tun, abrupt)
 
     def writeConnectionLost(self) -> None:  # noqa: N802
-        self.listener.waiting.pop(self, None)
-        self.listener.leaving[self] = None
+        self.listener.answered(self)
 
     def _gone(self) -> None:
         super()._gone()
@@ -167,33 +165,21 @@
         self.finish()
 
 
-class Listener(ServerFactory):
-    """Takes clients in. Where slots run short those that hold one for nothing make room: first who has had
-    its last answer, then who has been silent for longest. Strangers who connect by hundreds and say nothing
-    must not keep the others out; only where there are none of either do newcomers wait in the system's queue.
+class Listener(Door):
+    """Takes clients in. Strangers who connect by hundreds and say nothing must not keep the others out; only
+    where nobody can make room do newcomers wait in the system's queue.
     """
 
-    noisy = False
+    room = ROOM
 
     def __init__(self, means: Means, taker: Taker) -> None:
-        self.means = means
+        super().__init__(means)
         self.taker = taker
-        self.port: Any = None
         self.paused = False
-        # Both in the order in which they came.
-        self.waiting: dict[ClientLink, None] = {}  # no whole OPEN yet
-        self.leaving: dict[ClientLink, None] = {}  # all is said, and the peer has not ended its side
-        self.going: set[ClientLink] = set()  # made to leave, their slots about to come free
-
-    def open(self, address: Address) -> None:
-        host, port = address
-        self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
-        self.port.numberAccepts = AT_A_TIME
+        self.away = False  # out of service: the front that asks is to deal no clients to this relay
 
     def buildProtocol(self, addr: IAddress) -> ClientLink | None:  # noqa: N802
-        # Twisted would take in a hundred and more before it lets one of those go that make room.
-        self.port.numberAccepts = AT_A_TIME
-        self._make_room()
+        self.make_room()
         if self.means.links.left <= LAST_ROOM:
             # Refused here by closing; a socket more might be the one that ends the process.
             self.means.complaints.about("client", "no slot is left")
@@ -202,18 +188,8 @@
             return None
         return ClientLink(self)
 
-    def _make_room(self) -> None:
-        # A newcomer that becomes a tunnel takes a second slot for its setup, so it may be more than one.
-        while self.means.links.left + len(self.going) <= ROOM and (held := self.leaving or self.waiting):
-            link = next(iter(held))
-            del held[link]
-            self.going.add(link)
-            link.abort()
-
-    def gone(self, link: ClientLink) -> None:
-        self.waiting.pop(link, None)
-        self.leaving.pop(link, None)
-        self.going.discard(link)
+    def gone(self, link: Link) -> None:
+        super().gone(link)
         if self.paused and self.means.links.left > LAST_ROOM and self.port.connected:
             self.paused = False
             self.port.startReading()
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -20,6 +20,7 @@
     name: str
     listen: Address
     discovery: Address
+    control: Address | None  # where operators call; None: nowhere
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -33,6 +34,13 @@
     return host, int(port)
 
 
+def _control_address(told: Any) -> Address:
+    try:
+        return address_of(told)
+    except (ValueError, AttributeError) as why:
+        raise ValueError(f"control: expected an address and a port, got {told!r}") from why
+
+
 def read_orders(environ: Mapping[str, str]) -> StartingOrders:
     path = environ.get("BALANCER_CONFIG")
     if not path:
@@ -45,10 +53,13 @@
         raise BadConfigError(f"{path}: not JSON: {why}") from why
     try:
         check_settings(told["settings"])
+        # The platform's word to this process goes before the file's, which two processes may share.
+        control = environ.get("BALANCER_CONTROL") or told.get("control")
         return StartingOrders(
             name=str(told["name"]),
             listen=address_of(told["listen"]),
             discovery=address_of(told["discovery"]),
+            control=None if control is None else _control_address(control),
             seed=int(told["seed"], 16),
             sockets=int(told["limits"]["sockets"]),
             known=dict(told["known"]),
--- /dev/null
+++ b/cedarledge/net/control.py
@@ -0,0 +1,195 @@
+"""Where operators call: HTTP/1.1, one call to a connection, an answer of one line."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+from urllib.parse import unquote
+
+from loguru import logger
+from twisted.internet.interfaces import IAddress
+
+from cedarledge.net.buffers import Pool
+from cedarledge.net.doors import Door
+from cedarledge.net.links import Link, Means
+from cedarledge.net.service import Service
+from cedarledge.net.slots import Slots
+from cedarledge.terms import MS
+
+# Callers at a time, in descriptors that clients can't take; and of these, what is kept free: that many may
+# come in before one that was made to leave has left.
+MOST_CALLERS, ROOM = 24, 10
+# No call comes near these; what is longer is not read on.
+LONGEST_HEAD, LONGEST_BODY = 8 << 10, 64 << 10
+# For a whole call, from connecting on.
+WHOLE_WITHIN = 2000 * MS
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+           408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+
+
+class Call(NamedTuple):
+    method: str
+    path: str
+
+
+class Answer(NamedTuple):
+    status: int
+    text: str
+    allow: str = ""
+
+    def line(self) -> bytes:
+        body = self.text.encode("ascii", "backslashreplace") + b"\n"
+        allow = f"Allow: {self.allow}\r\n" if self.allow else ""
+        head = (f"HTTP/1.1 {self.status} {REASONS[self.status]}\r\nContent-Type: text/plain\r\n{allow}"
+                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n")
+        return head.encode("ascii") + body
+
+
+class CallError(Exception):
+    """What can't be dealt with, and the answer to it."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.answer = Answer(status, text)
+
+
+class CallReader:
+    """Reads one call from a stream. What stands behind it is nobody's."""
+
+    def __init__(self) -> None:
+        self._data = b""
+        self._call: Call | None = None
+        self._left = 0  # of the body
+
+    def feed(self, data: bytes) -> Call | None:
+        if self._call is None:
+            self._data += data
+            end = self._data.find(b"\r\n\r\n")
+            if (end if end >= 0 else len(self._data)) > LONGEST_HEAD:
+                raise CallError(431, "a head past all measure")
+            if end < 0:
+                return None
+            head, data = self._data[:end], self._data[end + 4:]
+            self._call, self._left = self._head(head)
+        # The body of a call means nothing here; it only has to be through.
+        self._left -= len(data)
+        return self._call if self._left <= 0 else None
+
+    def _head(self, head: bytes) -> tuple[Call, int]:
+        first, *lines = head.decode("latin-1").split("\r\n")
+        words = first.split(" ")
+        if len(words) != 3 or not all(words) or not words[2].startswith("HTTP/1."):
+            raise CallError(400, f"not a call: {first[:60]!r}")
+        fields: dict[str, str] = {}
+        for line in lines:
+            name, colon, value = line.partition(":")
+            name = name.lower()
+            if not colon or not name or name != name.strip():
+                raise CallError(400, f"not a field: {line[:60]!r}")
+            if name == "content-length" and fields.get(name, value.strip()) != value.strip():
+                raise CallError(400, "two lengths")
+            fields[name] = value.strip()
+        if "transfer-encoding" in fields:
+            raise CallError(400, "a body without a length")
+        length = fields.get("content-length", "0")
+        if not (length.isascii() and length.isdecimal()):
+            raise CallError(400, f"no length: {length[:60]!r}")
+        if len(length) > 9 or int(length) > LONGEST_BODY:
+            raise CallError(413, "a body past all measure")
+        return Call(words[0], words[1].partition("?")[0]), int(length)
+
+
+class CallLink(Link):
+    """One caller. It has its answer in the event that brings the last byte of its call."""
+
+    peer = "operator"
+
+    def __init__(self, control: Control) -> None:
+        super().__init__(control.means)
+        self.control = control
+        self.reader = CallReader()
+
+    def came_up(self) -> None:
+        self.control.waiting[self] = None
+        self.due_in(WHOLE_WITHIN, self._too_late)
+
+    def _too_late(self) -> None:
+        self.answer(Answer(408, "no whole call in time"))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        if self.ending:
+            super().dataReceived(data)
+            return
+        try:
+            call = self.reader.feed(data)
+        except CallError as why:
+            self.means.complaints.about(self.peer, str(why))
+            self.answer(why.answer)
+            return
+        if call is not None:
+            self.nothing_due()
+            self.answer(self.control.carry_out(call))
+
+    def answer(self, answer: Answer) -> None:
+        if not self.ending:
+            self.transport.write(answer.line())
+            self.finish()
+            self.control.answered(self)
+
+    def peer_ended(self, abrupt: bool) -> None:
+        """It asked for nothing that goes on without it."""
+
+    def _gone(self) -> None:
+        super()._gone()
+        self.control.gone(self)
+
+
+class Control(Door):
+    """The operators' front. Callers that hold a connection and ask nothing make room for the next."""
+
+    room = ROOM
+
+    def __init__(self, means: Means, service: Service) -> None:
+        super().__init__(means._replace(links=Slots(MOST_CALLERS), pool=Pool(0, 0)))
+        self.service = service
+        self.whole: dict[str, tuple[str, Callable[[], Answer]]] = {
+            "/control/ready": ("GET", self._ready),
+            "/control/out-of-service": ("POST", self._go_out),
+            "/control/in-service": ("POST", self._come_in),
+        }
+
+    def buildProtocol(self, addr: IAddress) -> CallLink | None:  # noqa: N802
+        self.make_room()
+        return CallLink(self) if self.means.links.left else None
+
+    def carry_out(self, call: Call) -> Answer:
+        found = self.whole.get(unquote(call.path))
+        if found is None:
+            return Answer(404, f"nothing is called {call.path[:80]}")
+        method, act = found
+        if call.method != method:
+            return Answer(405, f"{call.path} takes {method}", allow=method)
+        try:
+            answer = act()
+        except Exception:
+            # Whoever called is owed an answer, and the others theirs.
+            logger.exception("{} failed", call.path)
+            return Answer(500, "failed, see the log")
+        if method != "GET":
+            logger.info("operator: {}: {} {}", call.path, answer.status, answer.text)
+        return answer
+
+    def _ready(self) -> Answer:
+        why_not = self.service.why_not_ready()
+        return Answer(503, why_not) if why_not else Answer(200, "ready")
+
+    def _go_out(self) -> Answer:
+        self.service.go_out()
+        return Answer(200, "out of service")
+
+    def _come_in(self) -> Answer:
+        if self.service.ending:
+            return Answer(409, "this process ends")
+        self.service.come_in()
+        return Answer(200, "in service")
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -28,6 +28,7 @@
 from cedarledge.net.module import MakeBalancer, Module
 from cedarledge.net.paces import Paces
 from cedarledge.net.seams import Front
+from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.terms import MS, SECOND, ListForm, LoadReport
@@ -38,6 +39,8 @@
 
 # Descriptors for what is no line connection: standard streams, the listener, discovery, the reactor's own.
 OWN_FILES = 24
+# More for the operators' front, where there is one: its callers, those about to leave, its listener.
+CONTROL_FILES = 28
 # The platform kills a relay no sooner than the longest client timeout, this at most, and a little more after
 # SIGTERM; new connections go on coming for a while.
 LONGEST_STOP, NEWCOMERS_FOR, STOP_LOOK = 3 * SECOND, SECOND, 100 * MS
@@ -65,12 +68,11 @@
         self.clock = steady_clock()
         self.deadlines = Deadlines(reactor, self.clock)
         files = _may_hold(orders.sockets)
-        most = files - OWN_FILES
+        most = files - OWN_FILES - (CONTROL_FILES if orders.control else 0)
         if most < 2 * SPARE_LINKS:
             raise BadConfigError(f"{files} descriptors are too few")
         self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most),
                            Complaints(self.deadlines))
-        self.stopping = False
         self.hearers = Hearers(self.clock, self.deadlines)
         self.module = Module(self.clock, self.deadlines)
         try:
@@ -106,11 +108,22 @@
         self.tunnels.join(self.backends, Echoes(self.clock, self.deadlines, in_lines, self.tunnels.silent))
         self.module.join(self.tunnels, self.backends, self.boxes, self.watching)
         self.front: Front = Listener(self.means, self.tunnels)
+        self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.front)
         self.module.start(facts, balancer)
         self.boxes.changed(ListForm.RESTORED, known)
         # Where the module is told of changes unasked, it leaves the asking to its host.
         self.watching.start()
 
+    def open(self, orders: StartingOrders) -> None:
+        """Raises CannotListenError."""
+        if orders.control is not None:
+            from cedarledge.net.control import Control
+
+            self.control = Control(self.means, self.service)
+            self.control.open(orders.control)
+        self.front.open(orders.listen)
+        self.service.opened = True
+
     # -- what is heard of backends beside their tunnels --------------------------------------------
 
     def delay_told(self, ep: int, delay: int) -> None:
@@ -158,9 +171,9 @@
 
     def stop(self) -> None:
         """The platform wants this relay to end, and will kill it."""
-        if self.stopping:
+        if self.service.ending:
             return
-        self.stopping = True
+        self.service.ending = True
         held = self.tunnels.table.used
         logger.info("stops within {} ms: {} tunnels", self.stop_within // MS, held)
         # Relays are restarted one after the other. Where another's clients have just come here it is not back
@@ -199,7 +212,7 @@
     if wanted is not None:
         relay.follow(wanted)
     try:
-        relay.front.open(orders.listen)
+        relay.open(orders)
     except CannotListenError as why:
         raise BadConfigError(str(why)) from why
     logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.boxes.ready),
--- a/cedarledge/net/seams.py
+++ b/cedarledge/net/seams.py
@@ -48,6 +48,8 @@
 class Front(Protocol):
     """What takes clients in. It owns its listener and its connections."""
 
+    away: bool  # out of service: no more clients are to be dealt here
+
     def open(self, address: Address) -> None: ...
 
 
