--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -135,13 +135,16 @@
         assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "control: " in ended.stderr
     with Program(tmp_path, [Backend("a")]) as relay:
         assert len(listeners(relay.process.pid)) == 1
-    with running(tmp_path, Backend("a")) as (relay, address):
+    with running(tmp_path, Backend("a")) as (relay, _):
         assert len(listeners(relay.process.pid)) == 2
 
 
 def listeners(pid: int) -> set[str]:
     """The sockets that a process listens on."""
-    held = {os.readlink(entry) for entry in Path(f"/proc/{pid}/fd").iterdir()}
+    held = set()
+    for entry in Path(f"/proc/{pid}/fd").iterdir():
+        with suppress(FileNotFoundError):  # closed meanwhile
+            held.add(os.readlink(entry))
     rows = [line.split() for line in Path("/proc/net/tcp").read_text().splitlines()[1:]]
     return {row[9] for row in rows if row[3] == "0A" and f"socket:[{row[9]}]" in held}
 
