A new process takes over by a lease, and a backend that operators take out drains

A first try of this one failed too: the kinds of an estate were read from NamedTuple's annotations, which are forward references; the new process ended with 1 (log: KeyError: ForwardRef). They are a plain table now, and a test reads every field.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -292,6 +292,12 @@
                 return
         link.ask()
 
+    def no_probes(self, ep: int) -> None:
+        """Not even a second question on a connection that is there."""
+        link = self.probes.get(ep)
+        if link is not None:
+            link.turn_out()
+
     def forget(self, link: ProbeLink) -> None:
         if self.probes.get(link.ep) is link:
             del self.probes[link.ep]
--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -16,7 +16,8 @@
 
 class BoxList:
     """Hands out the boxes' numbers, and passes each change on the moment it is read: the grace for drains
-    runs from when discovery wrote it."""
+    runs from when discovery wrote it. What operators say of a box is merged in here: one that they have taken
+    out reaches the module as one that drains, whatever the list says of it."""
 
     def __init__(self, module: Module, hearers: Hearers, settings: Mapping[str, Any]) -> None:
         self.module = module
@@ -24,9 +25,12 @@
         self.eps = Indices()
         self.zones = Indices(settings.get("dcs"))
         self.kinds = Indices(settings.get("host_types"))
-        self.addresses: dict[int, Address] = {}
+        self.addresses: dict[int, Address] = {}  # of all that a list has ever named
+        self.listed: dict[int, dict[str, Any]] = {}  # the entries of those on it, as they were told
         self.ready: set[int] = set()
         self.heard = False  # of discovery itself, not only what this relay was started with
+        self.banned: dict[int, int] = {}  # taken out by operators, and since when
+        self.back: dict[int, int] = {}  # put back by them, and when
 
     def entry(self, told: Mapping[str, Any]) -> Listed:
         """One entry in the module's terms. Raises KeyError, TypeError or ValueError for what is none."""
@@ -35,20 +39,34 @@
         ep = self.eps[told["id"]]
         if standing is not Standing.GONE:
             self.addresses[ep] = address_of(told["host_port"])
+        if standing is Standing.READY and ep in self.banned:
+            standing = Standing.DRAINING
+        # One that was put back was started anew while it was out; the list may learn of that later.
+        started = max(int(told.get("up_since_ms") or 0) * MS, self.back.get(ep, 0))
         return Listed(ep, int(told.get("cell") or 0), self.zones[told.get("locality")],
-                      self.kinds[told.get("flavor")], float(told.get("size") or 0), standing,
-                      int(told.get("up_since_ms") or 0) * MS, mark_of(told["id"]))
+                      self.kinds[told.get("flavor")], float(told.get("size") or 0), standing, started,
+                      mark_of(told["id"]))
 
     def told(self, whole: bool, members: list[dict[str, Any]]) -> None:
-        entries = [self.entry(told) for told in members]
+        """Raises KeyError, TypeError or ValueError, and then nothing has changed."""
+        self.take_in(ListForm.WHOLE if whole else ListForm.CHANGES, members)
         self.heard = True
-        self.changed(ListForm.WHOLE if whole else ListForm.CHANGES, entries)
+
+    def take_in(self, form: ListForm, members: list[dict[str, Any]]) -> None:
+        entries = [self.entry(told) for told in members]
+        if form is not ListForm.CHANGES:
+            self.listed.clear()
+        for told, entry in zip(members, entries, strict=True):
+            self.listed[entry.ep] = told
+            if entry.standing is Standing.GONE:
+                del self.listed[entry.ep]
+        self._changed(form, entries)
 
     def lost(self) -> None:
         self.module.tell(self.module.balancer.list_changed, ListForm.UNAVAILABLE, [])
         self.hearers.tell("listed", ListForm.UNAVAILABLE, [])
 
-    def changed(self, form: ListForm, entries: list[Listed]) -> None:
+    def _changed(self, form: ListForm, entries: list[Listed]) -> None:
         if form is not ListForm.CHANGES:
             self.ready.clear()
         self.ready -= {entry.ep for entry in entries}
@@ -60,3 +78,28 @@
         """What the operator wants nothing new sent to. A box that is not on the list yet is known by its
         name."""
         self.module.knows(aside=frozenset(self.eps[name] for name in names))
+
+    # -- what operators call -----------------------------------------------------------------------
+
+    def known(self, name: str) -> int | None:
+        """Whom a list has ever named; a ban may outlast its place there."""
+        ep = self.eps.get(name)
+        return ep if ep in self.addresses or ep in self.banned else None
+
+    def ban(self, ep: int, now: int) -> None:
+        """Nothing new goes there until it is put back, whatever any list says; twice is once."""
+        if self.banned.setdefault(ep, now) == now:
+            self._tell_again(ep)
+
+    def put_back(self, ep: int, now: int) -> None:
+        since = self.banned.pop(ep, None)
+        if since is None:
+            return
+        told = self.listed.get(ep)
+        if told is None or int(told.get("up_since_ms") or 0) * MS <= since:
+            self.back[ep] = now
+        self._tell_again(ep)
+
+    def _tell_again(self, ep: int) -> None:
+        if ep in self.listed:
+            self._changed(ListForm.CHANGES, [self.entry(self.listed[ep])])
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -175,7 +175,7 @@
     def __init__(self, means: Means, taker: Taker) -> None:
         super().__init__(means)
         self.taker = taker
-        self.paused = False
+        self.paused = self.held_back = False  # for want of slots; another process takes clients in
         self.away = False  # out of service: the front that asks is to deal no clients to this relay
 
     def buildProtocol(self, addr: IAddress) -> ClientLink | None:  # noqa: N802
@@ -192,4 +192,18 @@
         super().gone(link)
         if self.paused and self.means.links.left > LAST_ROOM and self.port.connected:
             self.paused = False
+            self._read()
+
+    def hold_back(self) -> None:
+        """Another process of this relay is about to take clients in. Who has not been accepted waits in the
+        system's queue, which both share."""
+        self.held_back = True
+        self.port.stopReading()
+
+    def go_on(self) -> None:
+        self.held_back = False
+        self._read()
+
+    def _read(self) -> None:
+        if not (self.paused or self.held_back):
             self.port.startReading()
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+import os
+import socket
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
@@ -21,6 +23,7 @@
     listen: Address
     discovery: Address
     control: Address | None  # where operators call; None: nowhere
+    inherited: int | None  # the descriptor of the clients' listening socket; None: it is this process's own
     seed: int
     sockets: int
     known: dict[str, Any]
@@ -41,6 +44,20 @@
         raise ValueError(f"control: expected an address and a port, got {told!r}") from why
 
 
+def _listening(told: str | None) -> int | None:
+    """The descriptor, if it is one and its socket listens."""
+    if not told:
+        return None
+    try:
+        with socket.socket(fileno=os.dup(int(told))) as found:
+            listens = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            if found.family != socket.AF_INET or not listens:
+                raise ValueError("it does not listen")
+    except (ValueError, OSError) as why:
+        raise ValueError(f"BALANCER_LISTEN_FD: expected a listening socket, got {told!r}: {why}") from why
+    return int(told)
+
+
 def read_orders(environ: Mapping[str, str]) -> StartingOrders:
     path = environ.get("BALANCER_CONFIG")
     if not path:
@@ -60,6 +77,7 @@
             listen=address_of(told["listen"]),
             discovery=address_of(told["discovery"]),
             control=None if control is None else _control_address(control),
+            inherited=_listening(environ.get("BALANCER_LISTEN_FD")),
             seed=int(told["seed"], 16),
             sockets=int(told["limits"]["sockets"]),
             known=dict(told["known"]),
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 from urllib.parse import unquote
 
 from loguru import logger
@@ -12,10 +12,13 @@
 from cedarledge.net.buffers import Pool
 from cedarledge.net.doors import Door
 from cedarledge.net.links import Link, Means
-from cedarledge.net.service import Service
+from cedarledge.net.service import Service, UnknownError
 from cedarledge.net.slots import Slots
 from cedarledge.terms import MS
 
+if TYPE_CHECKING:
+    from cedarledge.net.handover import Handover
+
 # Callers at a time, in descriptors that clients can't take; and of these, what is kept free: that many may
 # come in before one that was made to leave has left.
 MOST_CALLERS, ROOM = 24, 10
@@ -23,6 +26,8 @@
 LONGEST_HEAD, LONGEST_BODY = 8 << 10, 64 << 10
 # For a whole call, from connecting on.
 WHOLE_WITHIN = 2000 * MS
+READY, BACKENDS = "/control/ready", "/control/backends/"
+CALLS = {"/control": ("out-of-service", "in-service"), BACKENDS: ("offline", "online")}
 REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
            408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
@@ -101,7 +106,8 @@
 
 
 class CallLink(Link):
-    """One caller. It has its answer in the event that brings the last byte of its call."""
+    """One caller. It has its answer in the event that brings the last byte of its call, or once the other
+    process of this relay knows of it."""
 
     peer = "operator"
 
@@ -129,7 +135,7 @@
             return
         if call is not None:
             self.nothing_due()
-            self.answer(self.control.carry_out(call))
+            self.control.carry_out(call, self.answer)
 
     def answer(self, answer: Answer) -> None:
         if not self.ending:
@@ -150,46 +156,50 @@
 
     room = ROOM
 
-    def __init__(self, means: Means, service: Service) -> None:
+    def __init__(self, means: Means, service: Service, handover: Handover | None) -> None:
         super().__init__(means._replace(links=Slots(MOST_CALLERS), pool=Pool(0, 0)))
         self.service = service
-        self.whole: dict[str, tuple[str, Callable[[], Answer]]] = {
-            "/control/ready": ("GET", self._ready),
-            "/control/out-of-service": ("POST", self._go_out),
-            "/control/in-service": ("POST", self._come_in),
-        }
+        self.handover = handover  # to another process of this relay, where there can be one
 
     def buildProtocol(self, addr: IAddress) -> CallLink | None:  # noqa: N802
         self.make_room()
         return CallLink(self) if self.means.links.left else None
 
-    def carry_out(self, call: Call) -> Answer:
-        found = self.whole.get(unquote(call.path))
-        if found is None:
-            return Answer(404, f"nothing is called {call.path[:80]}")
-        method, act = found
+    def carry_out(self, call: Call, answer: Callable[[Answer], None]) -> None:
+        *start, last = call.path.split("/")
+        start, name = "/".join(start), ""
+        if start.startswith(BACKENDS):
+            start, name = BACKENDS, unquote(start.removeprefix(BACKENDS))
+        if call.path == READY:
+            method = "GET"
+        elif last in CALLS.get(start, ()) and bool(name) == (start == BACKENDS):
+            method = "POST"
+        else:
+            answer(Answer(404, f"nothing is called {call.path[:80]}"))
+            return
         if call.method != method:
-            return Answer(405, f"{call.path} takes {method}", allow=method)
+            answer(Answer(405, f"{call.path[:80]} takes {method}", allow=method))
+        elif method == "GET":
+            why_not = self.service.why_not_ready()
+            answer(Answer(503, why_not) if why_not else Answer(200, "ready"))
+        else:
+            done = self._act(last, name)
+            logger.info("operator: {}: {} {}", call.path, done.status, done.text)
+            if done.status == 200 and self.handover is not None:
+                # What one of the two is told both know before the yes.
+                self.handover.pass_on(last, name, lambda: answer(done))
+            else:
+                answer(done)
+
+    def _act(self, what: str, name: str) -> Answer:
+        if what == "in-service" and self.service.ending and not self.service.replaced:
+            return Answer(409, "this process ends")
         try:
-            answer = act()
+            self.service.calls[what](*((name,) if name else ()))
+        except UnknownError:
+            return Answer(404, f"no list has named a backend {name[:80]}")
         except Exception:
             # Whoever called is owed an answer, and the others theirs.
-            logger.exception("{} failed", call.path)
+            logger.exception("{} failed", what)
             return Answer(500, "failed, see the log")
-        if method != "GET":
-            logger.info("operator: {}: {} {}", call.path, answer.status, answer.text)
-        return answer
-
-    def _ready(self) -> Answer:
-        why_not = self.service.why_not_ready()
-        return Answer(503, why_not) if why_not else Answer(200, "ready")
-
-    def _go_out(self) -> Answer:
-        self.service.go_out()
-        return Answer(200, "out of service")
-
-    def _come_in(self) -> Answer:
-        if self.service.ending:
-            return Answer(409, "this process ends")
-        self.service.come_in()
-        return Answer(200, "in service")
+        return Answer(200, f"{name} {what}".strip())
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -237,6 +237,17 @@
             self._address, self._revision = address, None
             self._ask()
 
+    @property
+    def revision(self) -> int | None:
+        """What is followed from here on; None: nothing that is known."""
+        return self._revision
+
+    def go_on_from(self, revision: int | None) -> None:
+        """Another process has followed the list up to there."""
+        self.let_go()
+        self._revision = revision
+        self._ask()
+
     def let_go(self) -> None:
         """Gives back the call and its connection, and tells nobody: the list is not lost."""
         self._deadlines.cancel(self._due)
--- a/cedarledge/net/doors.py
+++ b/cedarledge/net/doors.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import os
+import socket
 from typing import Any
 
 from twisted.internet.protocol import ServerFactory
@@ -29,9 +31,15 @@
         self.leaving: dict[Link, None] = {}  # all is said, and the peer has not ended its side
         self.going: set[Link] = set()  # made to leave, their slots about to come free
 
-    def open(self, address: Address) -> None:
-        host, port = address
-        self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
+    def open(self, address: Address, inherited: int | None = None) -> None:
+        """On a socket of its own, or on the one that this process inherited by that descriptor."""
+        if inherited is None:
+            host, port = address
+            self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
+        else:
+            os.set_blocking(inherited, False)
+            self.port = self.means.reactor.adoptStreamPort(inherited, socket.AF_INET, self)
+            os.close(inherited)  # the reactor has its own
         self.port.numberAccepts = AT_A_TIME
 
     def make_room(self) -> None:
--- /dev/null
+++ b/cedarledge/net/handover.py
@@ -0,0 +1,431 @@
+"""From one process of a relay to the next, where both inherit the clients' listening socket.
+
+The new process asks the old one over a Unix socket in $TMPDIR, and has the answer before it serves. From its
+answer on the old one takes no connections in, for as long as a lease; the new one opens its listener within
+it and says so. Their connection stays: by it each tells the other what operators call, and the old one what
+it still holds. Lines of JSON, both ways.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import socket
+import struct
+import time
+from collections.abc import Callable
+from itertools import count
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from loguru import logger
+from twisted.internet.error import CannotListenError
+from twisted.internet.interfaces import IAddress
+from twisted.internet.protocol import Protocol, ServerFactory
+from twisted.python.failure import Failure
+
+from cedarledge.net.boxlist import BoxList
+from cedarledge.net.deadlines import Deadline
+from cedarledge.net.discovery import Watch
+from cedarledge.net.links import Means
+from cedarledge.net.seams import Front
+from cedarledge.net.service import Service, UnknownError
+from cedarledge.net.tunnels import Tunnels
+from cedarledge.terms import MS, ListForm
+from cedarledge.words import mark_of
+
+# Of what is told. Another version is not understood, and who asks in one goes on alone.
+VERSION = 1
+# How long the old one may take to answer: the new one has 6 s for its whole start.
+ANSWER_WITHIN = 1.5
+# How long the old one takes no connections in without a word that the new one does.
+LEASE = 1500 * MS
+# For the other process to say that it has heard a call; operators are owed their answer within 1 s.
+HEARD_WITHIN = 500 * MS
+TELL_HELD = 250 * MS
+# No list comes near this; a message past it is not read on.
+LONGEST = 8 << 20
+
+
+class NotFollowedError(Exception):
+    """What the other side says can't be used."""
+
+
+class Estate(NamedTuple):
+    """What the old process leaves to the new one."""
+
+    until: int  # on the clock that all processes of a machine share: the lease's end
+    revision: int | None
+    members: list[dict[str, Any]]
+    banned: dict[str, int]
+    back: dict[str, int]
+    away: bool
+    ids: list[str]
+    held: int
+
+
+def read_estate(line: bytes) -> Estate:
+    told = read_message(line)
+    if told.get("version") != VERSION:
+        raise NotFollowedError(f"version {told.get('version')!r}: {str(told.get('no'))[:80]}")
+    try:
+        estate = Estate(**told["estate"])
+    except (KeyError, TypeError) as why:
+        raise NotFollowedError(f"not an estate: {why!r}") from why
+    wrong = [name for name, is_right in RIGHT.items() if not is_right(getattr(estate, name))]
+    if wrong:
+        raise NotFollowedError(f"not an estate: {', '.join(wrong)}")
+    return estate
+
+
+def _is_number(value: Any) -> bool:
+    return type(value) is int
+
+
+def _are_times(value: Any) -> bool:
+    return type(value) is dict and all(type(time) is int for time in value.values())
+
+
+RIGHT: dict[str, Callable[[Any], bool]] = {
+    "until": _is_number,
+    "revision": lambda value: value is None or _is_number(value),
+    "members": lambda value: type(value) is list and all(type(entry) is dict for entry in value),
+    "banned": _are_times,
+    "back": _are_times,
+    "away": lambda value: type(value) is bool,
+    "ids": lambda value: type(value) is list and all(type(name) is str for name in value),
+    "held": _is_number,
+}
+
+
+def read_message(line: bytes) -> dict[str, Any]:
+    try:
+        told = json.loads(line)
+    except (ValueError, RecursionError) as why:
+        raise NotFollowedError(f"not JSON: {why}") from why
+    if not isinstance(told, dict):
+        raise NotFollowedError("not an object")
+    return told
+
+
+def line_of(**told: Any) -> bytes:
+    return json.dumps(told, separators=(",", ":")).encode() + b"\n"
+
+
+def is_ours(link: socket.socket) -> bool:
+    """Whether the peer runs as the same user as this process."""
+    user = struct.unpack("3i", link.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))[1]
+    return user == os.getuid()
+
+
+class Found(NamedTuple):
+    """The process before: the connection to it, what it leaves, and what more it has said by then."""
+
+    link: socket.socket
+    estate: Estate
+    rest: bytes
+
+
+def ask(folder: Path, name: str) -> Found | None:
+    """The process before, the newest first; None where there is none that answers. It waits, as nothing is
+    served yet."""
+    by = time.monotonic() + ANSWER_WITHIN
+    paths = set(folder.glob(own_path(folder, name, "*").name)) - {own_path(folder, name)}
+    for path in sorted(paths, key=_made_at, reverse=True):
+        link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            return Found(link, *_ask(link, path, name, by))
+        except (ConnectionRefusedError, FileNotFoundError):
+            logger.info("handover: {} is left over, nobody listens there", path.name)
+        except (OSError, NotFollowedError) as why:
+            logger.warning("handover: {}: {}", path.name, why)
+        link.close()
+    return None
+
+
+def _made_at(path: Path) -> int:
+    try:
+        return path.stat().st_mtime_ns
+    except FileNotFoundError:  # its process has just ended
+        return 0
+
+
+def _ask(link: socket.socket, path: Path, name: str, by: float) -> tuple[Estate, bytes]:
+    def left() -> float:
+        if time.monotonic() >= by:
+            raise TimeoutError("no answer in time")
+        return by - time.monotonic()
+
+    link.settimeout(left())
+    link.connect(str(path))
+    if not is_ours(link):
+        raise NotFollowedError("another user's")
+    link.sendall(line_of(version=VERSION, name=name))
+    data = bytearray()
+    while b"\n" not in data:
+        link.settimeout(left())
+        part = link.recv(1 << 16)
+        if not part:
+            raise NotFollowedError("it ended before its answer did")
+        data += part
+        if len(data) > LONGEST:
+            raise NotFollowedError("an answer past all measure")
+    line, _, rest = bytes(data).partition(b"\n")
+    return read_estate(line), rest
+
+
+def own_path(folder: Path, name: str, process: int | str = "") -> Path:
+    return folder / f"cedarledge-{mark_of(name):x}-{process or os.getpid()}.sock"
+
+
+class Peer(Protocol):
+    """The connection to the other process. It is the handover's until it is lost."""
+
+    transport: Any
+
+    def __init__(self, handover: Handover) -> None:
+        self.handover = handover
+        self.rest = b""
+
+    def connectionMade(self) -> None:  # noqa: N802
+        if not is_ours(self.transport.socket):
+            logger.warning("handover: another user's process asked")
+            self.transport.abortConnection()
+
+    def tell(self, **told: Any) -> None:
+        self.transport.write(line_of(**told))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        *lines, self.rest = (self.rest + data).split(b"\n")
+        try:
+            for line in lines:
+                self.handover.heard(self, read_message(line))
+            if len(self.rest) > LONGEST:
+                raise NotFollowedError("a message past all measure")
+        except NotFollowedError as why:
+            logger.warning("handover: {}", why)
+            self.transport.abortConnection()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        self.handover.lost(self)
+
+
+class Handover(ServerFactory):
+    """Both ends of it: a process takes over when it starts, and hands over when the next one does."""
+
+    noisy = False
+
+    def __init__(self, means: Means, folder: Path, name: str, service: Service, boxes: BoxList,
+                 tunnels: Tunnels, listener: Front, watching: Watch) -> None:
+        self.reactor = means.reactor
+        self.deadlines = means.deadlines
+        self.links = means.links
+        self.folder = folder
+        self.name = name
+        self.service = service
+        self.boxes = boxes
+        self.tunnels = tunnels
+        self.listener = listener
+        self.watching = watching
+        self.before: Peer | None = None  # the process that this one took over from
+        self.after: Peer | None = None  # the one that takes over from this one
+        self._lease: Deadline | None = None
+        self._calls = count(1)
+        self._unheard: dict[int, tuple[Peer, Deadline, Callable[[], None]]] = {}
+
+    def listen(self) -> None:
+        """A process that can't be asked still serves; the next one then goes on alone."""
+        path = own_path(self.folder, self.name)
+        mask = os.umask(0o177)
+        try:
+            path.unlink(missing_ok=True)
+            self.reactor.listenUNIX(str(path), self, mode=0o600, backlog=4)
+        except (OSError, CannotListenError) as why:
+            logger.error("handover: can't be asked: {}", why)
+        finally:
+            os.umask(mask)
+
+    def buildProtocol(self, addr: IAddress) -> Peer:  # noqa: N802
+        return Peer(self)
+
+    # -- taking over -------------------------------------------------------------------------------
+
+    def take_over(self) -> None:
+        """From the process before, if there is one that answers. The listener is to be opened next: that one
+        leaves it to this one for as long as the lease."""
+        for _ in range(2):
+            found = ask(self.folder, self.name)
+            if found is None:
+                break
+            self._keep(found)
+            try:
+                self._follow(found.estate)
+            except (KeyError, TypeError, ValueError, AttributeError) as why:
+                logger.warning("handover: what the process before leaves can't be used: {!r}", why)
+                self._give_up()
+                break
+            if time.monotonic_ns() < found.estate.until:
+                logger.info("handover: takes over")
+                self.before.tell(taken=True)
+                return
+            # This process was held up past the lease, and the one before takes connections in again.
+            self._give_up()
+        logger.info("handover: goes on alone")
+
+    def _follow(self, estate: Estate) -> None:
+        eps = self.boxes.eps
+        self.boxes.banned = {eps[name]: since for name, since in estate.banned.items()}
+        self.boxes.back = {eps[name]: at for name, at in estate.back.items()}
+        self.boxes.take_in(ListForm.WHOLE, estate.members)
+        self.watching.go_on_from(estate.revision)
+        self.tunnels.ids_before = frozenset(estate.ids)
+        self.tunnels.begun = True
+        self.links.lent = estate.held
+        if estate.away:
+            self.service.go_out()
+
+    def _keep(self, found: Found) -> None:
+        """The connection stays, on the reactor from here on."""
+        link, _, rest = found
+        link.setblocking(False)
+        try:
+            self.before = Peer(self)
+            self.service.takes_over = True
+            self.reactor.adoptStreamConnection(link.fileno(), socket.AF_UNIX, _Fixed(self.before))
+        finally:
+            link.close()  # the reactor has its own
+        # After what is left: that is followed first.
+        self.deadlines.after(0, self.before.dataReceived, rest)
+
+    def _give_up(self) -> None:
+        before, self.before = self.before, None
+        self.service.takes_over = False
+        self.links.lent = 0
+        self.tunnels.ids_before = frozenset()
+        before.transport.abortConnection()
+
+    def end(self) -> None:
+        """This process ends, and takes nothing in for all that the other one's connection goes with it."""
+        self.before = self.after = None
+
+    # -- what the other process says ---------------------------------------------------------------
+
+    def heard(self, peer: Peer, told: dict[str, Any]) -> None:
+        if "version" in told:
+            self._asked(peer, told)
+        elif peer not in (self.before, self.after):
+            raise NotFollowedError("a stranger's message")
+        elif "taken" in told:
+            self._taken(peer)
+        elif type(told.get("held")) is int:
+            self.links.lent = max(0, told["held"])
+        elif "do" in told:
+            self._do(told["do"], told.get("name", ""))
+            peer.tell(done=told.get("call"))
+        elif "done" in told:
+            self._was_heard(told["done"])
+        else:
+            raise NotFollowedError(f"unknown: {sorted(told)[:5]}")
+
+    def _asked(self, peer: Peer, told: dict[str, Any]) -> None:
+        if told["version"] != VERSION or told.get("name") != self.name:
+            logger.warning("handover: asked by {} in version {}", told.get("name"), told["version"])
+            peer.tell(version=VERSION, no="another version or another relay")
+            return
+        if self.after is not None:
+            logger.warning("handover: asked again, the last who asked is given up")
+            self.after.transport.abortConnection()
+        logger.info("handover: a new process asks; nothing more is taken in here")
+        self.after = peer
+        self.listener.hold_back()
+        self._lease = self.deadlines.after(LEASE, self._lapsed, peer)
+        names = self.boxes.eps.names
+        estate = Estate(
+            time.monotonic_ns() + LEASE, self.watching.revision, list(self.boxes.listed.values()),
+            {names[ep]: since for ep, since in self.boxes.banned.items()},
+            {names[ep]: at for ep, at in self.boxes.back.items()}, self.listener.away,
+            sorted(self.tunnels.ids), self._held())
+        peer.tell(version=VERSION, estate=estate._asdict())
+
+    def _held(self) -> int:
+        return len(os.listdir("/proc/self/fd")) + self.links.lent
+
+    def _lapsed(self, peer: Peer) -> None:
+        logger.warning("handover: the new process did not take over in time")
+        peer.transport.abortConnection()
+
+    def _taken(self, peer: Peer) -> None:
+        if peer is not self.after:
+            raise NotFollowedError("it took over unasked")
+        self.deadlines.cancel(self._lease)
+        self.service.replaced = True
+        logger.info("handover: the new process serves; {} tunnels are left here", self.tunnels.table.used)
+        self._tell_held(peer)
+
+    def _tell_held(self, peer: Peer) -> None:
+        if peer is self.after:
+            peer.tell(held=self._held())
+            self.deadlines.after(TELL_HELD, self._tell_held, peer)
+
+    def lost(self, peer: Peer) -> None:
+        for call, (asked, _, _) in list(self._unheard.items()):
+            if asked is peer:
+                self._was_heard(call)
+        if peer is self.before:
+            logger.info("handover: the process before has ended")
+            self.before = None
+            self.service.takes_over = False
+            self.links.lent = 0
+            self.tunnels.ids_before = frozenset()
+        elif peer is self.after:
+            # It died, or never took over: whoever waits in the system's queue is this process's again.
+            logger.warning("handover: the new process is gone; this one serves on")
+            self.deadlines.cancel(self._lease)
+            self.after = None
+            self.service.replaced = False
+            self.listener.go_on()
+
+    # -- what operators call -----------------------------------------------------------------------
+
+    def pass_on(self, what: str, name: str, then: Callable[[], None]) -> None:
+        """Tells the other process, and then calls; a little later all the same where that one hangs, since
+        it can do no harm meanwhile."""
+        peer = self.after or self.before
+        if peer is None:
+            then()
+            return
+        call = next(self._calls)
+        self._unheard[call] = peer, self.deadlines.after(HEARD_WITHIN, self._hangs, call), then
+        peer.tell(do=what, name=name, call=call)
+
+    def _hangs(self, call: int) -> None:
+        logger.warning("handover: the other process did not say that it heard a call")
+        self._was_heard(call)
+
+    def _was_heard(self, call: Any) -> None:
+        _, due, then = self._unheard.pop(call, (None, None, None))
+        if then is not None:
+            self.deadlines.cancel(due)
+            then()
+
+    def _do(self, what: Any, name: Any) -> None:
+        if what not in self.service.calls or not isinstance(name, str):
+            raise NotFollowedError(f"no call: {str(what)[:40]}")
+        try:
+            self.service.calls[what](*((name,) if name else ()))
+        except UnknownError:
+            logger.info("handover: {} {}: not known here", what, name)
+        except TypeError as why:
+            raise NotFollowedError(f"no call: {what}") from why
+
+
+class _Fixed(ServerFactory):
+    """Gives an adopted connection the protocol that waits for it."""
+
+    noisy = False
+
+    def __init__(self, peer: Peer) -> None:
+        self.peer = peer
+
+    def buildProtocol(self, addr: IAddress) -> Peer:  # noqa: N802
+        return self.peer
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -6,6 +6,8 @@
 import resource
 import signal
 from collections.abc import Callable
+from pathlib import Path
+from tempfile import gettempdir
 from typing import TYPE_CHECKING, Any
 
 from loguru import logger
@@ -35,6 +37,7 @@
 from cedarledge.words import US, ReportReader, site_facts
 
 if TYPE_CHECKING:
+    from cedarledge.net.handover import Handover
     from cedarledge.operator.file import OperatorFile
 
 # Descriptors for what is no line connection: standard streams, the listener, discovery, the reactor's own.
@@ -108,21 +111,32 @@
         self.tunnels.join(self.backends, Echoes(self.clock, self.deadlines, in_lines, self.tunnels.silent))
         self.module.join(self.tunnels, self.backends, self.boxes, self.watching)
         self.front: Front = Listener(self.means, self.tunnels)
-        self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.front)
+        self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.backends,
+                               self.front)
+        self.handover: Handover | None = None
         self.module.start(facts, balancer)
-        self.boxes.changed(ListForm.RESTORED, known)
+        self.boxes.take_in(ListForm.RESTORED, orders.known["members"])
         # Where the module is told of changes unasked, it leaves the asking to its host.
         self.watching.start()
 
     def open(self, orders: StartingOrders) -> None:
         """Raises CannotListenError."""
+        if orders.inherited is not None:
+            from cedarledge.net.handover import Handover
+
+            folder = Path(os.environ.get("TMPDIR") or gettempdir())
+            self.handover = Handover(self.means, folder, orders.name, self.service, self.boxes, self.tunnels,
+                                     self.front, self.watching)
         if orders.control is not None:
             from cedarledge.net.control import Control
 
-            self.control = Control(self.means, self.service)
-            self.control.open(orders.control)
-        self.front.open(orders.listen)
+            Control(self.means, self.service, self.handover).open(orders.control)
+        if self.handover is not None:
+            self.handover.take_over()
+        self.front.open(orders.listen, orders.inherited)
         self.service.opened = True
+        if self.handover is not None:
+            self.handover.listen()
 
     # -- what is heard of backends beside their tunnels --------------------------------------------
 
@@ -179,11 +193,12 @@
         # Relays are restarted one after the other. Where another's clients have just come here it is not back
         # yet, and who is moved now finds nobody, then all come at once: they stay for as long as they can.
         wait, within = 0, self.stop_within * 2 // 3
-        if self.tunnels.refugees.read(self.clock()) > REFUGEES * held:
+        newcomers_until = self.clock() + (0 if self.service.replaced else NEWCOMERS_FOR)
+        if not self.service.replaced and self.tunnels.refugees.read(self.clock()) > REFUGEES * held:
             wait = int(LATE * self.stop_within)
             within = self.stop_within + KILL_LATER - wait
         self.deadlines.after(wait, self.module.tell, self.module.balancer.stopping, within)
-        self.deadlines.after(STOP_LOOK, self._end_if_empty, self.clock() + NEWCOMERS_FOR)
+        self.deadlines.after(STOP_LOOK, self._end_if_empty, newcomers_until)
         self.deadlines.after(self.stop_within + KILL_LATER, self._answer_all)
 
     def _end_if_empty(self, earliest: int) -> None:
@@ -192,6 +207,8 @@
             return
         logger.info("nothing is held: ends")
         self.watching.let_go()
+        if self.handover is not None:
+            self.handover.end()
         self.means.reactor.stop()
 
     def _answer_all(self) -> None:
--- a/cedarledge/net/service.py
+++ b/cedarledge/net/service.py
@@ -1,9 +1,10 @@
-"""Whether this relay serves, as operators say: in and out of service, and when it is ready."""
+"""What operators have said of this relay: in or out of service, which backends are out, when it is ready."""
 
 from __future__ import annotations
 
 from loguru import logger
 
+from cedarledge.net.backends import Backends
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.module import Module
@@ -16,27 +17,40 @@
 EMPTY_WITHIN, ANSWER_ALL_AFTER = 2500 * MS, 3300 * MS
 
 
+class UnknownError(Exception):
+    """No list has named such a backend."""
+
+
 class Service:
-    """What operators have said of this relay. Each call may come twice, and then changes nothing."""
+    """Each call may come twice, and then changes nothing."""
 
     def __init__(self, deadlines: Deadlines, module: Module, boxes: BoxList, tunnels: Tunnels,
-                 front: Front) -> None:
+                 backends: Backends, front: Front) -> None:
         self.deadlines = deadlines
         self.module = module
         self.boxes = boxes
         self.tunnels = tunnels
+        self.backends = backends
         self.front = front
-        self.opened = self.ending = False  # the clients' listener; this process
+        self.opened = False  # the clients' listener
+        self.ending = self.replaced = False  # this process, by a newer one
+        self.takes_over = False  # while the process before is still there
         self._sweep: Deadline | None = None
+        # By the names that they have between two processes.
+        self.calls = {"out-of-service": self.go_out, "in-service": self.come_in, "offline": self.take_out,
+                      "online": self.put_back}
 
     def why_not_ready(self) -> str:
         """Empty where this process can serve."""
         if self.ending:
             return "this process ends"
-        if self.front.away:
-            return "out of service"
+        if self.replaced:
+            return "a newer process serves"
         if not self.opened:
             return "the listener is not open yet"
+        if self.front.away and not self.takes_over:
+            # A process that took over from one out of service is what that one's end waits for.
+            return "out of service"
         if not self.boxes.heard and not self.boxes.ready:
             return "no list of backends yet"
         return ""
@@ -46,13 +60,30 @@
             return
         self.front.away = True
         logger.info("out of service: {} tunnels are sent away", self.tunnels.table.used)
-        self.module.tell(self.module.balancer.stopping, EMPTY_WITHIN)
-        self._sweep = self.deadlines.after(ANSWER_ALL_AFTER, self.tunnels.end_all)
+        if not self.ending:
+            self.module.tell(self.module.balancer.stopping, EMPTY_WITHIN)
+            self._sweep = self.deadlines.after(ANSWER_ALL_AFTER, self.tunnels.end_all)
 
     def come_in(self) -> None:
         if not self.front.away:
             return
         self.front.away = False
         logger.info("in service again with {} tunnels", self.tunnels.table.used)
-        self.deadlines.cancel(self._sweep)
-        self.module.tell(self.module.balancer.staying)
+        if not self.ending:
+            self.deadlines.cancel(self._sweep)
+            self.module.tell(self.module.balancer.staying)
+
+    def take_out(self, name: str) -> None:
+        ep = self._known(name)
+        # The list's word first: whoever waits for a look at it is then placed elsewhere.
+        self.boxes.ban(ep, self.deadlines.now())
+        self.backends.no_probes(ep)
+
+    def put_back(self, name: str) -> None:
+        self.boxes.put_back(self._known(name), self.deadlines.now())
+
+    def _known(self, name: str) -> int:
+        ep = self.boxes.known(name)
+        if ep is None:
+            raise UnknownError(name)
+        return ep
--- a/cedarledge/net/slots.py
+++ b/cedarledge/net/slots.py
@@ -21,16 +21,17 @@
     def __init__(self, most: int) -> None:
         self.most = most
         self.used = 0
+        self.lent = 0  # that another process has for now
         self._holders: list[Holder | None] = []
         self._turns: list[int] = []
         self._free: list[int] = []
 
     @property
     def left(self) -> int:
-        return self.most - self.used
+        return self.most - self.used - self.lent
 
     def take(self, holder: Holder) -> int:
-        if not self.left:
+        if self.left <= 0:
             raise FullError(f"all {self.most} slots are taken")
         if self._free:
             place = self._free.pop()
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -66,6 +66,7 @@
         self.hearers = hearers
         self.table: Slots[Tunnel] = Slots(most)
         self.ids: set[str] = set()  # of all tunnels here, as their clients named them
+        self.ids_before: frozenset[str] = frozenset()  # at the process that this one takes over from
         self.profiles = profiles
         self.tenants = tenants
         self.waits = waits
@@ -127,7 +128,7 @@
         if opening.at is None and opening.wait > LONGER * self.waits[profile]:
             client.bad_input(f"{opening.profile} does not wait for {opening.wait // MS} ms")
             return -1
-        if opening.id in self.ids:
+        if opening.id in self.ids or opening.id in self.ids_before:
             # Two of one id would be told apart by nobody behind this relay, and the first is the one served.
             client.bad_input(f"{opening.id[:40]} is open already")
             return -1
@@ -184,7 +185,7 @@
             return
         age = self.clock() - tunnel.began
         ep = self.boxes.eps.get(tunnel.opening.at)
-        if age >= ADOPT_WITHIN:
+        if age >= ADOPT_WITHIN or ep in self.boxes.banned:
             self.close_with_error(tun)
         elif ep in self.boxes.addresses:
             self._set_up(tun, ep, ADOPT_WITHIN - age, ADOPT_CONNECT_WITHIN)
@@ -197,9 +198,11 @@
     # -- what the backends' side tells -------------------------------------------------------------
 
     def may_send(self, tun: int, ep: int) -> bool:
-        """Nothing new goes to a backend that drains; what was open there before goes nowhere else."""
+        """Nothing new goes to a backend that drains; what was open there before goes nowhere else, and there
+        only if operators have not taken it out."""
         tunnel = self.table.get(tun)
-        return tunnel is not None and (ep in self.boxes.ready or not tunnel.known)
+        return tunnel is not None and ep not in self.boxes.banned and (
+            ep in self.boxes.ready or not tunnel.known)
 
     def client_waits(self, tun: int) -> int:
         """How long the client still waits for its answer, in ns; below 0: no longer."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -130,8 +130,8 @@
                 "limits": {"sockets": 512}, "known": {}, "settings": {"profiles": []}}
         path = tmp_path / "bad.json"
         path.write_text(json.dumps(told))
-        ended = subprocess.run([sys.executable, "-m", "cedarledge"], capture_output=True, text=True, timeout=20,
-                               env=os.environ | {"BALANCER_CONFIG": str(path)}, check=False)
+        ended = subprocess.run([sys.executable, "-m", "cedarledge"], capture_output=True, text=True,
+                               timeout=20, env=os.environ | {"BALANCER_CONFIG": str(path)}, check=False)
         assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "control: " in ended.stderr
     with Program(tmp_path, [Backend("a")]) as relay:
         assert len(listeners(relay.process.pid)) == 1
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,266 @@
+"""One process of a relay after the other, both real, on one listening socket."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import closing, contextmanager, suppress
+from pathlib import Path
+
+from helpers import Backend, Client, Program, until
+from pytest import mark, raises
+from test_control import call, free_address
+
+from cedarledge.net.handover import VERSION, NotFollowedError, own_path, read_estate
+
+
+class Pair(Program):
+    """A relay whose clients' socket is held by the platform, and whose processes come one after the other."""
+
+    def __init__(self, tmp: Path, backends: list[Backend], **other: object) -> None:
+        self.folder = tmp / "common"
+        self.folder.mkdir()
+        self.listening = socket.create_server(("127.0.0.1", 0), backlog=512)
+        self.processes: list[subprocess.Popen] = []
+        self.controls: list[str] = []
+        super().__init__(tmp, backends, **other)
+        self.address = self.listening.getsockname()
+
+    def start(self) -> None:
+        self.controls.append(free_address())
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "cedarledge"], stderr=self.log.open("ab"),
+            pass_fds=[self.listening.fileno()],
+            env=os.environ | {"BALANCER_CONFIG": str(self.path), "BALANCER_CONTROL": self.controls[-1],
+                              "BALANCER_LISTEN_FD": str(self.listening.fileno()),
+                              "TMPDIR": str(self.folder)})
+        self.processes.append(self.process)
+
+    def next(self) -> float:
+        """Starts one more, and says how long it took to be ready."""
+        self.start()
+        return until(self.ready, 6)
+
+    def ready(self, which: int = -1) -> bool:
+        with suppress(OSError):
+            return call(self.controls[which], "GET", "/control/ready") == 200
+        return False
+
+    def __exit__(self, *_: object) -> None:
+        for process in self.processes:
+            with suppress(ProcessLookupError):
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+            process.wait()
+        self.listening.close()
+
+    def said(self, text: str) -> bool:
+        return text.encode() in self.log.read_bytes()
+
+
+@contextmanager
+def pair(tmp: Path, *backends: Backend, **other: object) -> Iterator[Pair]:
+    with Pair(tmp, list(backends), **other) as relay:
+        until(relay.ready)
+        yield relay
+
+
+class Stream:
+    """Clients that come throughout, one after the other; what came of each."""
+
+    def __init__(self, relay: Pair) -> None:
+        self.relay = relay
+        self.answers: list[str] = []
+        self.open: list[Client] = []
+        self.over = False
+        self.thread = threading.Thread(target=self._run, daemon=True)
+        self.thread.start()
+
+    def _run(self) -> None:
+        while not self.over:
+            try:
+                client = self.relay.client()
+                client.link.settimeout(3)
+                answer = client.open(f"k{len(self.answers)}")
+            except OSError as why:
+                answer = repr(why)
+            self.answers.append(answer)
+            if answer == "UP r":
+                self.open.append(client)
+            time.sleep(0.01)
+
+    def end(self) -> None:
+        self.over = True
+        self.thread.join()
+
+
+def test_clients_who_come_throughout_are_all_served_and_those_before_are_moved(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with pair(tmp_path, backend) as relay:
+        stream = Stream(relay)
+        until(lambda: len(stream.answers) > 10)
+        for old in range(2):
+            before = [client for client in stream.open if client.say("M 1") == "M 1"]
+            assert len(before) > 5
+            assert relay.next() < 6
+            count = len(stream.answers)
+            assert not relay.ready(old), "one of the two is the one that serves"
+            start = time.monotonic()
+            relay.processes[old].terminate()
+            assert [client.hear() for client in before] == ["MOVE"] * len(before)
+            assert relay.processes[old].wait(timeout=4) == 0 and time.monotonic() - start < 3.7
+            until(lambda count=count: len(stream.answers) > count + 20)
+            stream.open = stream.open[len(before):]
+        stream.end()
+        assert set(stream.answers) == {"UP r"}, "nobody was turned back or lost"
+        assert len(backend.heads) == len(stream.answers), "and nobody set up twice"
+
+
+def test_the_new_process_dies_before_it_serves_and_the_old_one_goes_on(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        path = own_path(relay.folder, "n0", relay.process.pid)
+        assert path.stat().st_mode & 0o777 == 0o600
+        with closing(socket.socket(socket.AF_UNIX)) as link:
+            link.connect(str(path))
+            link.sendall(json.dumps({"version": VERSION, "name": "n0"}).encode() + b"\n")
+            estate = read_estate(link.makefile("rb").readline())
+            assert [entry["id"] for entry in estate.members] == ["a"] and estate.revision == 7
+            waits = relay.client()
+            waits.link.sendall(b"PING\r\n")
+            time.sleep(0.3)
+            assert not relay.said("goes on"), "it waits in the system's queue"
+        assert waits.hear() == "PONG" and relay.ready()
+        # And one that lives on without a word: the lease ends.
+        with closing(socket.socket(socket.AF_UNIX)) as link:
+            link.connect(str(path))
+            link.sendall(json.dumps({"version": VERSION, "name": "n0"}).encode() + b"\n")
+            start = time.monotonic()
+            assert relay.client().say("PING") == "PONG" and 1 < time.monotonic() - start < 3
+        assert relay.next() < 6
+
+
+def test_the_new_process_is_killed_after_it_took_over_and_the_old_one_takes_clients_in_again(
+        tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        assert relay.next() < 6 and not relay.ready(0)
+        relay.process.kill()
+        until(lambda: relay.ready(0))
+        assert relay.client().open() == "UP r"
+
+
+@mark.parametrize("state", ["killed", "hung"])
+def test_without_a_process_before_that_answers_the_new_one_goes_on_alone(tmp_path: Path, state: str) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        relay.process.send_signal(signal.SIGKILL if state == "killed" else signal.SIGSTOP)
+        assert relay.next() < 6
+        assert relay.client().open() == "UP r"
+        assert relay.said("left over" if state == "killed" else "no answer in time")
+
+
+def test_what_operators_tell_one_process_both_know(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with pair(tmp_path, *backends) as relay:
+        assert call(relay.controls[0], "POST", "/control/backends/a/offline") == 200
+        assert relay.next() < 6
+        old, new = relay.controls
+        assert all(relay.client().open(str(key)) == "UP r" for key in range(8))
+        assert not backends[0].heads, "the ban has come over"
+        # To the old one, while both are there; and to the new one.
+        assert call(old, "POST", "/control/backends/b/offline") == 200
+        assert relay.client().open("none") == "BUSY"
+        assert call(new, "POST", "/control/backends/a/online") == 200
+        assert call(old, "POST", "/control/backends/x/online") == 404
+        assert call(old, "POST", "/control/out-of-service") == 200
+        assert relay.client().say("PING") == "ERR"
+        relay.processes[0].terminate()
+        assert relay.processes[0].wait(timeout=4) == 0
+        assert relay.client().say("PING") == "ERR" and not relay.ready()
+        # One that takes over while out of service says yes, for the one before waits for that, and stays out.
+        assert relay.next() < 6
+        assert relay.client().say("PING") == "ERR"
+        assert call(relay.controls[-1], "POST", "/control/in-service") == 200
+        assert relay.client().say("PING") == "PONG"
+
+
+def test_an_id_that_is_open_at_the_process_before_is_refused(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        client = relay.client()
+        assert client.open() == "UP r"
+        assert relay.next() < 6
+        again = f"OPEN {client.id} k c=feed,d=1500,g=g1"
+        assert relay.client().say(again) == "ERR"
+        relay.processes[0].terminate()
+        assert client.hear() == "MOVE"
+        relay.processes[0].wait(timeout=4)
+        until(lambda: relay.said("the process before has ended"))
+        assert relay.client().say(again) == "UP r"
+
+
+def test_a_drain_that_the_old_process_was_told_of_holds_at_the_new_one_from_its_start(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with pair(tmp_path, *backends) as relay:
+        relay.discovery.tell(backends[0].entry("draining"))
+        until(lambda: len(relay.discovery.calls) > 1)
+        # Discovery is deaf from here on, and what the new process was started with is older.
+        relay.discovery.broken = b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+        assert relay.next() < 6
+        assert all(relay.client().open(str(key)) == "UP r" for key in range(8))
+        assert not backends[0].heads
+
+
+def test_strangers_and_nonsense_on_the_way_between_processes_change_nothing(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        path = own_path(relay.folder, "n0", relay.process.pid)
+        for said in (b"\x00\xff\n", b"[1]\n", b'{"taken":true}\n', b'{"held":5000}\n', b'{"do":"offline"}\n',
+                     b'{"version":99,"name":"n0"}\n', b'{"version":1,"name":"n1"}\n', b"{" * 200_000):
+            with closing(socket.socket(socket.AF_UNIX)) as link:
+                link.connect(str(path))
+                with suppress(OSError):
+                    link.sendall(said)
+                    link.shutdown(socket.SHUT_WR)
+                    assert b"estate" not in link.makefile("rb").read()
+            assert relay.client().say("PING") == "PONG" and relay.ready()
+        # A left-over file of no process, and one that talks nonsense.
+        (relay.folder / path.name.replace(str(relay.process.pid), "1")).touch()
+        with closing(socket.socket(socket.AF_UNIX)) as liar:
+            liar.bind(str(relay.folder / path.name.replace(str(relay.process.pid), "2")))
+            liar.listen()
+            threading.Thread(target=lambda: liar.accept()[0].sendall(b'{"version":1,"estate":{}}\n'),
+                             daemon=True).start()
+            assert relay.next() < 6
+        assert relay.said("not an estate") and relay.said("takes over")
+
+
+def test_an_estate_is_checked() -> None:
+    good = {"until": 1, "revision": None, "members": [], "banned": {"a": 1}, "back": {}, "away": False,
+            "ids": ["x"], "held": 3}
+
+    def told(**other: object) -> bytes:
+        return json.dumps({"version": VERSION, "estate": good | other}).encode()
+
+    assert read_estate(told()).banned == {"a": 1}
+    for other in ({"until": "1"}, {"revision": 1.5}, {"members": [1]}, {"banned": [1]}, {"banned": {"a": "1"}},
+                  {"away": 0}, {"ids": [2]}, {"held": None}, {"more": 1}):
+        with raises(NotFollowedError):
+            read_estate(told(**other))
+    with raises(NotFollowedError):
+        read_estate(json.dumps({"version": VERSION + 1, "estate": good}).encode())
+    with raises(NotFollowedError):
+        read_estate(told()[:-9])
+
+
+def test_a_bad_descriptor_is_one_line(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay, closing(socket.socket()) as idle:
+        for bad in ("x", "999", str(idle.fileno())):
+            ended = subprocess.run(
+                [sys.executable, "-m", "cedarledge"], capture_output=True, text=True, timeout=20, check=False,
+                pass_fds=[idle.fileno()],
+                env=os.environ | {"BALANCER_CONFIG": str(relay.path), "BALANCER_LISTEN_FD": bad})
+            assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "LISTEN_FD" in ended.stderr
