Tests of bans: every way by which something new could go out, and the way back

Hypothesis on the module with the list merged in front of it (bans, lists in part and whole, restarts, aside, time); a ban on all is followed where a list of all to set aside is not; over sockets a ban holds against lists, a restart of the backend and SIGHUP, probes and at= included, and the backend gets a tunnel within 5 s of the call back.

--- /dev/null
+++ b/tests/test_bans.py
@@ -0,0 +1,196 @@
+"""Backends that operators take out: nothing new goes there by any way, until the call back."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+from types import SimpleNamespace
+
+import hypothesis.strategies as st
+from helpers import MS, SECOND, START, Backend, Ledger, facts, until
+from hypothesis import given, settings
+from test_control import call, running
+
+from cedarledge.net.boxlist import BoxList
+from cedarledge.terms import Outcome, Outlook, Standing
+
+NAMES = "abcd"
+
+
+class Listed:
+    """A module under the test's host, which hears of the list as the relay's does."""
+
+    def __init__(self) -> None:
+        self.ledger = ledger = Ledger(facts())
+
+        def tell(method: object, *args: object) -> bool:
+            if method == ledger.balancer.list_changed:
+                form, entries = args
+                ledger.tell(form, *entries)
+            else:
+                method(ledger.now, *args)
+            return True
+
+        module = SimpleNamespace(
+            tell=tell, balancer=ledger.balancer,
+            knows=lambda aside: ledger.balancer.knows(ledger.now, Outlook(aside=aside)))
+        self.boxes = BoxList(module, SimpleNamespace(tell=lambda *_: None), {"dcs": ["z"]})
+        self.told(True, *[self.entry(name) for name in NAMES])
+
+    def entry(self, name: str, phase: str = "up", started: int = 0) -> dict:
+        return {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "cell": NAMES.index(name) % 2,
+                "phase": phase, "size": 1.0, "up_since_ms": started}
+
+    def told(self, whole: bool, *members: dict) -> None:
+        self.boxes.told(whole, list(members))
+
+    def ban(self, name: str) -> None:
+        self.boxes.ban(self.boxes.known(name), self.ledger.now)
+
+    def put_back(self, name: str) -> None:
+        self.boxes.put_back(self.boxes.known(name), self.ledger.now)
+
+
+@given(steps=st.lists(st.tuples(st.sampled_from(("ban", "ban", "back", "up", "draining", "removed", "whole",
+                                                 "restarted", "arrive", "arrive", "aside", "wait")),
+                                st.sampled_from(NAMES)), max_size=60))
+@settings(derandomize=True, deadline=None, max_examples=200)
+def test_nothing_new_goes_to_a_banned_backend_whatever_the_list_says(steps: list[tuple[str, str]]) -> None:
+    site = Listed()
+    ledger, boxes = site.ledger, site.boxes
+    banned: set[str] = set()
+    for what, name in steps:
+        sends, probes = len(ledger.sends), len(ledger.probes)
+        if what == "ban":
+            site.ban(name)
+            banned.add(name)
+        elif what == "back":
+            site.put_back(name)
+            banned.discard(name)
+        elif what in ("up", "draining", "removed"):
+            site.told(False, site.entry(name, what))
+        elif what == "restarted":
+            site.told(False, site.entry(name, "up", ledger.now // MS))
+        elif what == "whole":
+            site.told(True, *[site.entry(other) for other in NAMES if other != name])
+        elif what == "aside":
+            boxes.set_aside([name])
+        elif what == "wait":
+            ledger.run(SECOND)
+        else:
+            tun = ledger.arrive(key=name)
+            if not ledger.cases[tun].answered:
+                # It fails there, and goes elsewhere as long as there is somewhere.
+                ledger.end(tun, Outcome.FULL)
+        new = ledger.sends[sends:]
+        assert not {boxes.eps.names[ep] for _, _, ep in new} & banned
+        assert not {boxes.eps.names[ep] for _, ep in ledger.probes[probes:]} & banned
+        # What is not banned, and up, is never lost by it.
+        for ep, entry in ledger.listing.items():
+            assert boxes.eps.names[ep] not in banned or entry.standing is not Standing.READY
+
+
+def test_a_ban_on_all_is_followed_where_a_list_of_all_to_set_aside_is_not() -> None:
+    site = Listed()
+    site.boxes.set_aside(NAMES)
+    tun = site.ledger.arrive()
+    assert site.ledger.sends and not site.ledger.cases[tun].answered, "a slip, which would close the site"
+    for name in NAMES:
+        site.ban(name)
+    sends = len(site.ledger.sends)
+    tun = site.ledger.arrive()
+    assert site.ledger.cases[tun].answered and len(site.ledger.sends) == sends
+    site.put_back("b")
+    site.ledger.now += 11 * SECOND  # warm
+    assert site.ledger.arrive() >= 0 and [ep for _, _, ep in site.ledger.sends[sends:]] == [1]
+
+
+def test_one_that_comes_back_is_cold_and_forgotten_whatever_the_list_says() -> None:
+    site = Listed()
+    ledger, now = site.ledger, START
+    ledger.balancer.members[0].strikes, ledger.balancer.members[0].out_until = 5, now + 100 * SECOND
+    site.ban("a")
+    ledger.now += 3 * SECOND
+    site.put_back("a")
+    member = ledger.balancer.members[0]
+    assert member.started == ledger.now and not member.strikes and member.asked < 0
+    # An old word of discovery does not make it warm, nor forget again what was learned since.
+    ledger.report(0, 0.3)
+    site.told(False, site.entry("a", "up", 5))
+    assert member.started == ledger.now and member.asked == 0.3
+    ledger.now += SECOND
+    site.told(False, site.entry("a", "up", ledger.now // MS))
+    assert member.started == ledger.now and member.asked < 0, "one more restart is one"
+    # Where the list has told of the restart while it was out, that is when it started.
+    site.ban("b")
+    ledger.now += SECOND
+    at = ledger.now
+    site.told(False, site.entry("b", "up", at // MS))
+    ledger.now += SECOND
+    site.put_back("b")
+    assert ledger.balancer.members[1].started == at
+
+
+def test_its_clients_are_moved_and_it_gets_the_first_of_the_next(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with running(tmp_path, *backends) as (relay, control):
+        clients = [relay.client() for _ in range(12)]
+        assert all(client.open(str(number)) == "UP r" for number, client in enumerate(clients))
+        held = len(backends[0].opened)
+        assert 0 < held < 12
+        assert call(control, "POST", "/control/backends/a/offline") == 200
+        assert call(control, "POST", "/control/backends/a/offline") == 200
+        start = time.monotonic()
+        # The list says that it is there, in part and whole, and that it was started anew; so does SIGHUP's.
+        relay.discovery.tell(backends[0].entry())
+        relay.discovery.tell(backends[0].entry() | {"up_since_ms": int(time.time() * 1000)})
+        relay.reload()
+        asked = len(backends[0].heads)
+        assert all(relay.client().open(f"new{number}") == "UP r" for number in range(10))
+        moved = 0
+        while moved < held and time.monotonic() - start < 6:
+            moved = sum(end == "ended" for end in backends[0].ends)
+            time.sleep(0.05)
+        assert moved >= held and len(backends[0].heads) == asked
+        assert call(control, "POST", "/control/backends/a/online") == 200
+        start = time.monotonic()
+        while len(backends[0].heads) == asked and time.monotonic() - start < 5:
+            assert relay.client().open(f"back{time.monotonic()}") == "UP r"
+            time.sleep(0.1)
+        assert len(backends[0].heads) > asked
+
+
+def test_a_ban_on_all_declines_and_probes_nobody(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with running(tmp_path, backend) as (relay, control):
+        assert relay.client().open() == "UP r"
+        assert call(control, "POST", "/control/backends/a/offline") == 200
+        until(lambda: backend.ends.count("ended") + backend.ends.count("reset") >= 2)
+        seen = len(backend.ends), len(backend.heads)
+        time.sleep(2.5)
+        assert relay.client().open() == "BUSY"
+        before = relay.client().open("k", "c=feed,d=4294967,at=a")
+        assert before == "ERR", "what was open there before, too"
+        assert seen == (len(backend.ends), len(backend.heads)), "neither tunnels nor probes"
+        assert call(control, "POST", "/control/backends/a/online") == 200
+
+
+def test_what_is_being_connected_when_the_ban_comes_is_not_written() -> None:
+    site = Listed()
+    ledger = site.ledger
+    tun = ledger.arrive(key="k")
+    ep = ledger.sends[-1][2]
+    site.ban(site.boxes.eps.names[ep])
+    # The host asks once more before it writes (Tunnels.may_send), and says that it was not sent.
+    assert ep not in site.boxes.ready
+    ledger.end(tun, Outcome.NOT_SENT)
+    while tun in ledger.balancer.looking:
+        ledger.report(ledger.balancer.looking[tun], 0.1)
+    assert ledger.sends[-1][2] != ep, "it goes elsewhere"
+
+
+def test_names_are_as_the_list_has_them(tmp_path: Path) -> None:
+    with running(tmp_path, Backend("a b/c")) as (_, control):
+        answers = [call(control, "POST", f"/control/backends/{name}/offline")
+                   for name in ("x", "", "a%20b", "a%20b%2Fc")]
+        assert answers == [404, 404, 404, 200]
