Who makes room in a crowd goes by its last sign of life; a crowd holds up no restart

Cause: the oldest without a whole line made room, so a true client that writes for 2 s was thrown out (test: reset in the middle of its line, in crowds that say nothing, ask PING, or send part of a line). And the end of a process waited for every stranger: 3.7 s in a crowd where the platform kills after 2.2 s. Change: doors.py orders by the last sign of life; who has had PONG goes first; at the end strangers are let go.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -95,7 +95,7 @@
         self.is_open = False
 
     def came_up(self) -> None:
-        self.listener.waiting[self] = None
+        self.listener.lives(self)
         # From connecting on: half lines and PINGs put nothing off.
         self.due_in(FIRST_LINE_WITHIN, self.finish)
 
@@ -104,6 +104,8 @@
             self.bad_input("more before the answer")
         else:
             super().dataReceived(data)
+            if self.tun < 0 and self.lines.waiting and not self.ending:
+                self.listener.lives(self)
 
     def lines_came(self, lines: list[bytes]) -> None:
         if self.is_open:
@@ -114,6 +116,7 @@
             self.bad_input("more before the answer")
         elif lines[0] == b"PING":
             self.send_line(b"ERR" if self.listener.away else b"PONG")
+            self.listener.answered(self)
         else:
             self._first_line(lines[0])
 
@@ -124,7 +127,7 @@
             self.bad_input(f"{why}: {line[:80]!r}")
             return
         self.nothing_due()
-        self.listener.waiting.pop(self, None)
+        self.listener.keep(self)
         self.tun = self.taker.arrived(self, opening)
 
     def turn_out(self) -> None:
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -117,7 +117,7 @@
         self.reader = CallReader()
 
     def came_up(self) -> None:
-        self.control.waiting[self] = None
+        self.control.lives(self)
         self.due_in(WHOLE_WITHIN, self._too_late)
 
     def _too_late(self) -> None:
@@ -133,7 +133,10 @@
             self.means.complaints.about(self.peer, str(why))
             self.answer(why.answer)
             return
-        if call is not None:
+        if call is None:
+            self.control.lives(self)
+        else:
+            self.control.keep(self)
             self.nothing_due()
             self.control.carry_out(call, self.answer)
 
--- a/cedarledge/net/doors.py
+++ b/cedarledge/net/doors.py
@@ -18,7 +18,10 @@
 
 class Door(ServerFactory):
     """Takes callers in, and has those leave that hold a connection for nothing where places run short: first
-    who has had its last answer, then who has waited longest without a whole call."""
+    who has had its answer, then who has given no sign of life for longest, by a byte or by connecting. By age
+    alone a true caller that is slow to write would be among the first to go in a crowd. Who has sent nothing
+    does not go before who has sent part: the newest, whose call has come and was not read yet, would be the
+    first of them."""
 
     noisy = False
     room = 0  # with less than this left each newcomer takes the place of another
@@ -26,9 +29,9 @@
     def __init__(self, means: Means) -> None:
         self.means = means
         self.port: Any = None
-        # Both in the order in which they came.
-        self.waiting: dict[Link, None] = {}  # nothing whole has come
+        # Each in the order in which they came to be there.
         self.leaving: dict[Link, None] = {}  # all is said, and the peer has not ended its side
+        self.waiting: dict[Link, None] = {}  # no whole call has come
         self.going: set[Link] = set()  # made to leave, their slots about to come free
 
     def open(self, address: Address, inherited: int | None = None) -> None:
@@ -53,12 +56,29 @@
             self.going.add(link)
             link.abort()
 
+    def lives(self, link: Link) -> None:
+        """It has connected, or more of its call has come and not the whole."""
+        if link not in self.going:
+            self.keep(link)
+            self.waiting[link] = None
+
     def answered(self, link: Link) -> None:
-        """All is said to it."""
+        """All is said to it, for now at least."""
+        if link not in self.going:
+            self.keep(link)
+            self.leaving[link] = None
+
+    def keep(self, link: Link) -> None:
+        """It makes room for nobody."""
+        self.leaving.pop(link, None)
         self.waiting.pop(link, None)
-        self.leaving[link] = None
+
+    def turn_away(self) -> None:
+        """All who hold a connection and have not asked for anything whole."""
+        for link in (*self.leaving, *self.waiting):
+            if not link.ending:  # or its last answer might go with it
+                link.abort()
 
     def gone(self, link: Link) -> None:
-        self.waiting.pop(link, None)
-        self.leaving.pop(link, None)
+        self.keep(link)
         self.going.discard(link)
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -212,8 +212,10 @@
         self.means.reactor.stop()
 
     def _answer_all(self) -> None:
-        """What is still held now would be cut off; newcomers likewise."""
+        """What is still held now would be cut off; newcomers likewise. A crowd that says nothing whole must
+        not hold the end up until the platform kills this process."""
         self.tunnels.end_all()
+        self.front.turn_away()
         self.deadlines.after(STOP_LOOK, self._answer_all)
 
 
