A hand-over works in a folder of any length, and answers to nonsense do not fail

Cause: a Unix socket's address holds 108 bytes; with a longer TMPDIR the process could not be asked, only logged it, and bans were lost over an upgrade. Found by reading, shown by a test with a folder of 120 letters. A done that names no number raised in the connection's protocol.

--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -45,6 +45,7 @@
 TELL_HELD = 250 * MS
 # No list comes near this; a message past it is not read on.
 LONGEST = 8 << 20
+LONGEST_FOLDER = 60
 
 
 class NotFollowedError(Exception):
@@ -174,6 +175,14 @@
     return read_estate(line), rest
 
 
+def _reachable(folder: Path) -> Path:
+    """The folder by a path that leaves room for a name in a Unix socket's address, of 108 bytes in all."""
+    if len(os.fsencode(folder)) <= LONGEST_FOLDER:
+        return folder
+    # Kept for as long as this process runs: the system follows the descriptor to the folder.
+    return Path(f"/proc/self/fd/{os.open(folder, os.O_PATH | os.O_DIRECTORY | os.O_CLOEXEC)}")
+
+
 def own_path(folder: Path, name: str, process: int | str = "") -> Path:
     return folder / f"cedarledge-{mark_of(name):x}-{process or os.getpid()}.sock"
 
@@ -220,7 +229,7 @@
         self.reactor = means.reactor
         self.deadlines = means.deadlines
         self.links = means.links
-        self.folder = folder
+        self.folder = _reachable(folder)
         self.name = name
         self.service = service
         self.boxes = boxes
@@ -322,7 +331,7 @@
         elif "do" in told:
             self._do(told["do"], told.get("name", ""))
             peer.tell(done=told.get("call"))
-        elif "done" in told:
+        elif type(told.get("done")) is int:
             self._was_heard(told["done"])
         else:
             raise NotFollowedError(f"unknown: {sorted(told)[:5]}")
@@ -402,14 +411,14 @@
         logger.warning("handover: the other process did not say that it heard a call")
         self._was_heard(call)
 
-    def _was_heard(self, call: Any) -> None:
+    def _was_heard(self, call: int) -> None:
         _, due, then = self._unheard.pop(call, (None, None, None))
         if then is not None:
             self.deadlines.cancel(due)
             then()
 
     def _do(self, what: Any, name: Any) -> None:
-        if what not in self.service.calls or not isinstance(name, str):
+        if not isinstance(what, str) or what not in self.service.calls or not isinstance(name, str):
             raise NotFollowedError(f"no call: {str(what)[:40]}")
         try:
             self.service.calls[what](*((name,) if name else ()))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,8 +24,8 @@
 class Pair(Program):
     """A relay whose clients' socket is held by the platform, and whose processes come one after the other."""
 
-    def __init__(self, tmp: Path, backends: list[Backend], **other: object) -> None:
-        self.folder = tmp / "common"
+    def __init__(self, tmp: Path, backends: list[Backend], folder: str = "common", **other: object) -> None:
+        self.folder = tmp / folder
         self.folder.mkdir()
         self.listening = socket.create_server(("127.0.0.1", 0), backlog=512)
         self.processes: list[subprocess.Popen] = []
@@ -224,7 +224,8 @@
     with pair(tmp_path, Backend("a")) as relay:
         path = own_path(relay.folder, "n0", relay.process.pid)
         for said in (b"\x00\xff\n", b"[1]\n", b'{"taken":true}\n', b'{"held":5000}\n', b'{"do":"offline"}\n',
-                     b'{"version":99,"name":"n0"}\n', b'{"version":1,"name":"n1"}\n', b"{" * 200_000):
+                     b'{"done":[1]}\n', b'{"version":99,"name":"n0"}\n', b'{"version":1,"name":"n1"}\n',
+                     b"{" * 200_000):
             with closing(socket.socket(socket.AF_UNIX)) as link:
                 link.connect(str(path))
                 with suppress(OSError):
@@ -243,6 +244,11 @@
         assert relay.said("not an estate") and relay.said("takes over")
 
 
+def test_a_folder_of_any_length_serves(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a"), folder="x" * 120) as relay:
+        assert relay.next() < 6 and relay.said("takes over") and not relay.ready(0)
+
+
 def test_an_estate_is_checked() -> None:
     good = {"until": 1, "revision": None, "members": [], "banned": {"a": 1}, "back": {}, "away": False,
             "ids": ["x"], "held": 3}
