--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -60,13 +60,13 @@
             self.listed[entry.ep] = told
             if entry.standing is Standing.GONE:
                 del self.listed[entry.ep]
-        self._changed(form, entries)
+        self.changed(form, entries)
 
     def lost(self) -> None:
         self.module.tell(self.module.balancer.list_changed, ListForm.UNAVAILABLE, [])
         self.hearers.tell("listed", ListForm.UNAVAILABLE, [])
 
-    def _changed(self, form: ListForm, entries: list[Listed]) -> None:
+    def changed(self, form: ListForm, entries: list[Listed]) -> None:
         if form is not ListForm.CHANGES:
             self.ready.clear()
         self.ready -= {entry.ep for entry in entries}
@@ -102,4 +102,4 @@
 
     def _tell_again(self, ep: int) -> None:
         if ep in self.listed:
-            self._changed(ListForm.CHANGES, [self.entry(self.listed[ep])])
+            self.changed(ListForm.CHANGES, [self.entry(self.listed[ep])])
