What the old process has learned goes over; apart from its share a relay unlearns nothing

Change: net/beliefs.py hands loads, capacities and the cold rate over; _learn_rate may only raise the rate, and _learn_report leaves known capacities alone, while a relay is out of service, 40 s after, and after taking over. A test that fails without it.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -13,7 +13,7 @@
 
 import math
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 from hashlib import blake2b
 
 from cedarledge.terms import (
@@ -199,10 +199,11 @@
         self.loads = [(Fading(60 * SECOND), Fading(60 * SECOND)) for _ in rows]
         self.asked_for = [Fading(60 * SECOND) for _ in rows]
         self.line = [(0.0, 1.0) for _ in rows]
-        self.yielding = self.rate = self.arrival_rate = 0.0
+        self.yielding = self.rate = self.arrival_rate = self.apart_until = 0.0
         self.fleet = self.nearby = -1.0
         self.fleet_until = 0
-        self.capacity: dict[int, tuple[Fading, Fading]] = {}
+        self.capacity: defaultdict[int, tuple[Fading, Fading]] = defaultdict(
+            lambda: (Fading(40 * SECOND), Fading(40 * SECOND)))
         self.arrivals, self.retries = Fading(10 * SECOND), Fading(10 * SECOND)
         self.met: set[str] = set()
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
@@ -282,8 +283,8 @@
         the member itself showed lately outweighs its kind: one that turns slow is idle once its clients
         are moved away, and would be filled and drowned again.
         """
-        kind = self.capacity.get(member.kind)
-        if kind is None or kind[1].read(now) < 0.5:
+        kind = self.capacity[member.kind]
+        if kind[1].read(now) < 0.5:
             return 0.0
         usual = kind[0].read(now) / kind[1].read(now)
         return ((member.shown[0].read(now) + KIND_WEIGHT * usual)
@@ -388,7 +389,8 @@
         if 2 * len(seen) > min(len(warm), 2 * ENOUGH_SEEN):
             # Setups that are still out, as while all wait for a slow store, bring no load yet.
             held = sum(member.open - member.pending for member in seen)
-            self.rate = held / sum(member.asked for member in seen) / (self.facts.warm_within / SECOND)
+            rate = held / sum(member.asked for member in seen) / (self.facts.warm_within / SECOND)
+            self.rate = max(rate, self.rate) if now < self.apart_until else rate
 
     def _cold_allows(self, now: int, member: Member, size: float) -> bool:
         """Whether a tunnel is within this relay's share of a cold member's budget.
@@ -821,10 +823,12 @@
             asked = max(asked, 1.0 + report.piled_up / SECOND)
         member.asked = asked
         member.load_then = member.load - max(0.0, member.lately.read(now))
+        if now < self.apart_until and self.capacity[member.kind][1].read(now) >= 0.5:
+            return  # this relay holds little of what the report tells of, and would take that for weakness
         member.shown[0].add(now, member.load_then * self.facts.relays)
         member.shown[1].add(now, asked)
         if member.load > 0 and not self._is_cold(now, member) and 0.05 < asked < SOUND_LOAD:
-            own, told = self.capacity.setdefault(member.kind, (Fading(40 * SECOND), Fading(40 * SECOND)))
+            own, told = self.capacity[member.kind]
             own.add(now, member.load * self.facts.relays)
             told.add(now, asked)
 
@@ -899,13 +903,12 @@
         self._relieve(now)
 
     def stopping(self, now: int, within: int) -> None:
-        """This relay ends then, or is out of service: all are sent away by then; newcomers go on being placed
-        until then, since they were on their way, and are declined after."""
-        self.stop_by = now + within
+        """It ends or is out of service: all are sent away by then, and who comes later is declined."""
+        self.stop_by, self.apart_until = now + within, math.inf
 
     def staying(self, now: int) -> None:
         """It is back in service, and who is still here stays. It holds less than its share for a while."""
-        self.stop_by, self.young_until = 0, now + YOUNG
+        self.stop_by, self.young_until, self.apart_until = 0, now + YOUNG, now + YOUNG
 
     def silent(self, now: int, tun_id: int) -> None:
         """Lines on an open tunnel get no answer: a hung or vanished backend, of which nothing else tells."""
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -24,6 +24,7 @@
 from twisted.internet.protocol import Protocol, ServerFactory
 from twisted.python.failure import Failure
 
+from cedarledge.net import beliefs
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.deadlines import Deadline
 from cedarledge.net.discovery import Watch
@@ -35,7 +36,7 @@
 from cedarledge.words import mark_of
 
 # Of what is told. Another version is not understood, and who asks in one goes on alone.
-VERSION = 1
+VERSION = 2
 # How long the old one may take to answer: the new one has 6 s for its whole start.
 ANSWER_WITHIN = 1.5
 # How long the old one takes no connections in without a word that the new one does.
@@ -63,6 +64,7 @@
     away: bool
     ids: list[str]
     held: int
+    beliefs: dict[str, Any]
 
 
 def read_estate(line: bytes) -> Estate:
@@ -96,6 +98,7 @@
     "away": lambda value: type(value) is bool,
     "ids": lambda value: type(value) is list and all(type(name) is str for name in value),
     "held": _is_number,
+    "beliefs": lambda value: type(value) is dict,
 }
 
 
@@ -286,6 +289,7 @@
         self.boxes.banned = {eps[name]: since for name, since in estate.banned.items()}
         self.boxes.back = {eps[name]: at for name, at in estate.back.items()}
         self.boxes.take_in(ListForm.WHOLE, estate.members)
+        beliefs.follow(self.boxes.module.balancer, self.boxes.kinds, estate.beliefs, self.deadlines.now())
         self.watching.go_on_from(estate.revision)
         self.tunnels.ids_before = frozenset(estate.ids)
         self.tunnels.begun = True
@@ -353,7 +357,8 @@
             time.monotonic_ns() + LEASE, self.watching.revision, list(self.boxes.listed.values()),
             {names[ep]: since for ep, since in self.boxes.banned.items()},
             {names[ep]: at for ep, at in self.boxes.back.items()}, self.listener.away,
-            sorted(self.tunnels.ids), self._held())
+            sorted(self.tunnels.ids), self._held(),
+            beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.deadlines.now()))
         peer.tell(version=VERSION, estate=estate._asdict())
 
     def _held(self) -> int:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -555,3 +555,41 @@
     ledger.open(back)
     ledger.run(5 * SECOND)
     assert back not in ledger.moves
+
+
+def test_apart_from_its_share_a_relay_unlearns_neither_capacities_nor_the_cold_rate() -> None:
+    """Out of service and just back the reports tell of others' load, and of next to none of its own."""
+    ledger = fleet(size=2, asked=None, cells=1)
+    balancer = ledger.balancer
+
+    def learned() -> list[float]:
+        balancer.fleet_until = 0
+        balancer._fleet(ledger.now)
+        return [balancer.rate, *(balancer._capacity(ledger.now, balancer.members[ep]) for ep in range(2))]
+
+    for number in range(8):
+        ledger.open(ledger.arrive(hint=100.0, key=str(number)))
+    for _ in range(4):
+        ledger.now += 500 * MS
+        for ep in range(2):
+            ledger.report(ep, 0.5)
+    before = learned()
+    assert min(before) > 0
+    balancer.stopping(ledger.now, SECOND)
+    ledger.run(2 * SECOND)
+    ledger.end_moved()
+    for back in (False, True):
+        if back:
+            balancer.staying(ledger.now)
+        for _ in range(8):
+            ledger.now += 500 * MS
+            for ep in range(2):
+                ledger.report(ep, 0.9)
+        assert learned() == approx(before, rel=0.25)
+    # Once it has had time to get its share again it learns as before.
+    ledger.now += 41 * SECOND
+    for _ in range(8):
+        ledger.now += 500 * MS
+        for ep in range(2):
+            ledger.report(ep, 0.9)
+    assert learned()[0] < 0.5 * before[0]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,11 +14,13 @@
 from contextlib import closing, contextmanager, suppress
 from pathlib import Path
 
-from helpers import Backend, Client, Program, until
-from pytest import mark, raises
+from helpers import MS, Backend, Client, Program, fleet, until
+from pytest import approx, mark, raises
 from test_control import call, free_address
 
-from cedarledge.net.handover import VERSION, NotFollowedError, own_path, read_estate
+from cedarledge.net import beliefs
+from cedarledge.net.handover import VERSION, NotFollowedError, line_of, own_path, read_estate
+from cedarledge.words import Indices
 
 
 class Pair(Program):
@@ -224,7 +226,7 @@
     with pair(tmp_path, Backend("a")) as relay:
         path = own_path(relay.folder, "n0", relay.process.pid)
         for said in (b"\x00\xff\n", b"[1]\n", b'{"taken":true}\n', b'{"held":5000}\n', b'{"do":"offline"}\n',
-                     b'{"done":[1]}\n', b'{"version":99,"name":"n0"}\n', b'{"version":1,"name":"n1"}\n',
+                     b'{"done":[1]}\n', b'{"version":99,"name":"n0"}\n', line_of(version=VERSION, name="n1"),
                      b"{" * 200_000):
             with closing(socket.socket(socket.AF_UNIX)) as link:
                 link.connect(str(path))
@@ -238,7 +240,7 @@
         with closing(socket.socket(socket.AF_UNIX)) as liar:
             liar.bind(str(relay.folder / path.name.replace(str(relay.process.pid), "2")))
             liar.listen()
-            threading.Thread(target=lambda: liar.accept()[0].sendall(b'{"version":1,"estate":{}}\n'),
+            threading.Thread(target=lambda: liar.accept()[0].sendall(line_of(version=VERSION, estate={})),
                              daemon=True).start()
             assert relay.next() < 6
         assert relay.said("not an estate") and relay.said("takes over")
@@ -251,14 +253,15 @@
 
 def test_an_estate_is_checked() -> None:
     good = {"until": 1, "revision": None, "members": [], "banned": {"a": 1}, "back": {}, "away": False,
-            "ids": ["x"], "held": 3}
+            "ids": ["x"], "held": 3, "beliefs": {}}
 
     def told(**other: object) -> bytes:
         return json.dumps({"version": VERSION, "estate": good | other}).encode()
 
     assert read_estate(told()).banned == {"a": 1}
     for other in ({"until": "1"}, {"revision": 1.5}, {"members": [1]}, {"banned": [1]}, {"away": 0},
-                  {"banned": {"a": "1"}}, {"back": 2}, {"ids": [2]}, {"held": None}, {"more": 1}):
+                  {"banned": {"a": "1"}}, {"back": 2}, {"ids": [2]}, {"held": None}, {"beliefs": []},
+                  {"more": 1}):
         with raises(NotFollowedError):
             read_estate(told(**other))
     with raises(NotFollowedError):
@@ -275,3 +278,30 @@
                 pass_fds=[idle.fileno()],
                 env=os.environ | {"BALANCER_CONFIG": str(relay.path), "BALANCER_LISTEN_FD": bad})
             assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "LISTEN_FD" in ended.stderr
+
+
+def test_what_the_old_process_has_learned_goes_over_and_is_not_unlearned() -> None:
+    old = fleet(size=2, asked=None)
+    kinds = Indices(["k"])
+    for number in range(8):
+        old.open(old.arrive(hint=100.0, key=str(number)))
+    for _ in range(4):
+        old.now += 500 * MS
+        for ep in range(2):
+            old.report(ep, 0.5)
+    told = json.loads(json.dumps(beliefs.told_of(old.balancer, kinds, old.now)))
+    new = fleet(size=2, asked=None, now=old.now)
+    with raises(ValueError):
+        beliefs.follow(new.balancer, kinds, told | {"loads": told["loads"][1:]}, new.now)
+    with raises(ValueError):
+        beliefs.follow(new.balancer, kinds, told | {"rate": -1.0}, new.now)
+    assert not new.balancer.rate and new.balancer._usual_load(new.now, 0) == 0
+    beliefs.follow(new.balancer, kinds, told, new.now)
+    assert new.balancer._usual_load(new.now, 0) == approx(100)
+    # The clients are still at the old process, and the reports tell of them.
+    for _ in range(10):
+        new.now += 500 * MS
+        for ep in range(2):
+            new.report(ep, 0.8)
+    # Eight connections of 100 at each of two relays fill two members by half.
+    assert new.balancer._capacity(new.now, new.balancer.members[0]) == approx(1600)
