SIGHUP with an inherited socket, and descriptors that the old process gives back

Each with a test that fails without its fix. Also: a descriptor past an int, and a folder that is not there, are no traceback.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -193,6 +193,10 @@
 
     def gone(self, link: Link) -> None:
         super().gone(link)
+        self.came_free()
+
+    def came_free(self) -> None:
+        """Slots have come free, here or at the process before."""
         if self.paused and self.means.links.left > LAST_ROOM and self.port.connected:
             self.paused = False
             self._read()
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -53,7 +53,7 @@
             listens = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
             if found.family != socket.AF_INET or not listens:
                 raise ValueError("it does not listen")
-    except (ValueError, OSError) as why:
+    except (ValueError, OverflowError, OSError) as why:
         raise ValueError(f"BALANCER_LISTEN_FD: expected a listening socket, got {told!r}: {why}") from why
     return int(told)
 
--- a/cedarledge/net/doors.py
+++ b/cedarledge/net/doors.py
@@ -41,8 +41,8 @@
             self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
         else:
             os.set_blocking(inherited, False)
+            # The reactor makes one of its own; the inherited one stays, as SIGHUP has it looked at again.
             self.port = self.means.reactor.adoptStreamPort(inherited, socket.AF_INET, self)
-            os.close(inherited)  # the reactor has its own
         self.port.numberAccepts = AT_A_TIME
 
     def make_room(self) -> None:
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -180,7 +180,7 @@
 
 def _reachable(folder: Path) -> Path:
     """The folder by a path that leaves room for a name in a Unix socket's address, of 108 bytes in all."""
-    if len(os.fsencode(folder)) <= LONGEST_FOLDER:
+    if len(os.fsencode(folder)) <= LONGEST_FOLDER or not folder.is_dir():
         return folder
     # Kept for as long as this process runs: the system follows the descriptor to the folder.
     return Path(f"/proc/self/fd/{os.open(folder, os.O_PATH | os.O_DIRECTORY | os.O_CLOEXEC)}")
@@ -331,7 +331,7 @@
         elif "taken" in told:
             self._taken(peer)
         elif type(told.get("held")) is int:
-            self.links.lent = max(0, told["held"])
+            self._lend(max(0, told["held"]))
         elif "do" in told:
             self._do(told["do"], told.get("name", ""))
             peer.tell(done=told.get("call"))
@@ -340,6 +340,11 @@
         else:
             raise NotFollowedError(f"unknown: {sorted(told)[:5]}")
 
+    def _lend(self, held: int) -> None:
+        # A listener that stopped for want of room hears of no connection of its own that has gone.
+        self.links.lent = held
+        self.listener.came_free()
+
     def _asked(self, peer: Peer, told: dict[str, Any]) -> None:
         if told["version"] != VERSION or told.get("name") != self.name:
             logger.warning("handover: asked by {} in version {}", told.get("name"), told["version"])
@@ -389,8 +394,8 @@
             logger.info("handover: the process before has ended")
             self.before = None
             self.service.takes_over = False
-            self.links.lent = 0
             self.tunnels.ids_before = frozenset()
+            self._lend(0)
         elif peer is self.after:
             # It died, or never took over: whoever waits in the system's queue is this process's again.
             logger.warning("handover: the new process is gone; this one serves on")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -246,6 +246,35 @@
         assert relay.said("not an estate") and relay.said("takes over")
 
 
+def test_sighup_is_followed_with_an_inherited_socket_too(tmp_path: Path) -> None:
+    with pair(tmp_path, Backend("a")) as relay:
+        assert relay.next() < 6
+        relay.reload()
+        until(lambda: relay.said("configuration read again"))
+        assert not relay.said("can't be used") and relay.client().open() == "UP r"
+
+
+def test_descriptors_that_the_old_process_gives_back_are_the_new_ones(tmp_path: Path) -> None:
+    limits = {"cores": 1.0, "memory_mb": 96, "sockets": 150}
+    with pair(tmp_path, Backend("a"), limits=limits) as relay:
+        held = [relay.client() for _ in range(22)]
+        assert all(client.open(str(number)) == "UP r" for number, client in enumerate(held))
+        assert relay.next() < 6
+        # The two hold no more than one may, so the new one soon has no room, and takes nobody in.
+        mine: list[Client] = []
+        answer = "UP r"
+        while answer == "UP r":
+            assert len(mine) < 30
+            mine.append(relay.client())
+            answer = mine[-1].open(f"new{len(mine)}")
+        assert len(mine) > 3
+        both = sum(len(list(Path(f"/proc/{process.pid}/fd").iterdir())) for process in relay.processes)
+        assert both <= 150
+        relay.processes[0].terminate()
+        assert relay.processes[0].wait(timeout=4) == 0
+        until(lambda: relay.client().say("PING") == "PONG", 3)
+
+
 def test_a_folder_of_any_length_serves(tmp_path: Path) -> None:
     with pair(tmp_path, Backend("a"), folder="x" * 120) as relay:
         assert relay.next() < 6 and relay.said("takes over") and not relay.ready(0)
@@ -272,7 +301,7 @@
 
 def test_a_bad_descriptor_is_one_line(tmp_path: Path) -> None:
     with pair(tmp_path, Backend("a")) as relay, closing(socket.socket()) as idle:
-        for bad in ("x", "999", str(idle.fileno())):
+        for bad in ("x", "999", "9" * 30, str(idle.fileno())):
             ended = subprocess.run(
                 [sys.executable, "-m", "cedarledge"], capture_output=True, text=True, timeout=20, check=False,
                 pass_fds=[idle.fileno()],
