--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint
-from twisted.internet.interfaces import IAddress, IPullProducer
+from twisted.internet.interfaces import IAddress, IProtocol, IPullProducer
 from twisted.internet.protocol import Factory
 from twisted.python.failure import Failure
 from zope.interface import implementer
@@ -58,10 +58,10 @@
 
     noisy = False
 
-    def __init__(self, link: BackendLink) -> None:
+    def __init__(self, link: IProtocol) -> None:
         self.link = link
 
-    def buildProtocol(self, _addr: IAddress) -> BackendLink:  # noqa: N802
+    def buildProtocol(self, _addr: IAddress) -> IProtocol:  # noqa: N802
         return self.link
 
 
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -25,6 +25,7 @@
 from twisted.python.failure import Failure
 
 from cedarledge.net import beliefs
+from cedarledge.net.backends import Once
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.deadlines import Deadline
 from cedarledge.net.discovery import Watch
@@ -304,7 +305,7 @@
         try:
             self.before = Peer(self)
             self.service.takes_over = True
-            self.reactor.adoptStreamConnection(link.fileno(), socket.AF_UNIX, _Fixed(self.before))
+            self.reactor.adoptStreamConnection(link.fileno(), socket.AF_UNIX, Once(self.before))
         finally:
             link.close()  # the reactor has its own
         # After what is left: that is followed first.
@@ -436,15 +437,3 @@
             logger.info("handover: {} {}: not known here", what, name)
         except TypeError as why:
             raise NotFollowedError(f"no call: {what}") from why
-
-
-class _Fixed(ServerFactory):
-    """Gives an adopted connection the protocol that waits for it."""
-
-    noisy = False
-
-    def __init__(self, peer: Peer) -> None:
-        self.peer = peer
-
-    def buildProtocol(self, addr: IAddress) -> Peer:  # noqa: N802
-        return self.peer
