--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -211,6 +211,16 @@
     return ledger
 
 
+def teach(ledger: Ledger) -> None:
+    """Eight tunnels of 100 on the fleet, and reports of half its load."""
+    for number in range(8):
+        ledger.open(ledger.arrive(hint=100.0, key=str(number)))
+    for _ in range(4):
+        ledger.now += 500 * MS
+        for ep in ledger.listing:
+            ledger.report(ep, 0.5)
+
+
 # -- the program on sockets ------------------------------------------------------------------------
 
 SETTINGS = {
@@ -442,4 +452,4 @@
 
 
 __all__ = ["MS", "SECOND", "START", "TICK", "Backend", "Case", "Ledger", "Program", "facts", "fleet",
-           "http", "listed", "reset", "until"]
+           "http", "listed", "reset", "teach", "until"]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from itertools import pairwise
 
-from helpers import MS, SECOND, START, fleet, listed
+from helpers import MS, SECOND, START, fleet, listed, teach
 from pytest import approx
 
 from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK, digest_of, draw_of
@@ -567,12 +567,7 @@
         balancer._fleet(ledger.now)
         return [balancer.rate, *(balancer._capacity(ledger.now, balancer.members[ep]) for ep in range(2))]
 
-    for number in range(8):
-        ledger.open(ledger.arrive(hint=100.0, key=str(number)))
-    for _ in range(4):
-        ledger.now += 500 * MS
-        for ep in range(2):
-            ledger.report(ep, 0.5)
+    teach(ledger)
     before = learned()
     assert min(before) > 0
     balancer.stopping(ledger.now, SECOND)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,7 @@
 from contextlib import closing, contextmanager, suppress
 from pathlib import Path
 
-from helpers import MS, Backend, Client, Program, fleet, until
+from helpers import MS, Backend, Client, Program, fleet, teach, until
 from pytest import approx, mark, raises
 from test_control import call, free_address
 
@@ -312,12 +312,7 @@
 def test_what_the_old_process_has_learned_goes_over_and_is_not_unlearned() -> None:
     old = fleet(size=2, asked=None)
     kinds = Indices(["k"])
-    for number in range(8):
-        old.open(old.arrive(hint=100.0, key=str(number)))
-    for _ in range(4):
-        old.now += 500 * MS
-        for ep in range(2):
-            old.report(ep, 0.5)
+    teach(old)
     told = json.loads(json.dumps(beliefs.told_of(old.balancer, kinds, old.now)))
     new = fleet(size=2, asked=None, now=old.now)
     with raises(ValueError):
