--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -36,6 +36,9 @@
 PROBE_EVERY, PROBE_SELDOM, LOG_EVERY = SECOND, 4 * SECOND, 10 * SECOND
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
+# How often each member that holds this relay's clients is looked at, and by how many times sooner its turn comes
+# than that of others: one relay among dozens holds clients at two or three, and can do nothing for the rest.
+HELD_SEEN, HELD_SOONER = 5 * SECOND, 3
 SKIP_FACTOR = 1.5
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
 # the same list would all fill the one member that it puts a hair ahead.
@@ -212,7 +215,7 @@
         self.tenant_open: Counter[int | None] = Counter()
         self.groups: Counter[str | None] = Counter()
         self.next_probe = self.next_doubt = facts.now
-        self.stop_by = self.first_looks = 0
+        self.stop_by = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
         self.list_waits = SECOND
@@ -838,8 +841,7 @@
         every = self._probe_every(now)
         if now >= self.next_probe:
             self.next_probe = now + every
-            # The longest unseen first is the turn, and meets new members soon.
-            self._ask(now, self._unseen_longest())
+            self._ask(now, self._next_turn(now))
         # A member in trouble is looked at again before its turn: a whole round is too long to wait for news.
         # Only those whose clients this relay holds: hundreds of relays would ask the sick one together.
         doubtful = [member for member in self.holding.values()
@@ -852,22 +854,19 @@
             if now >= self.next_doubt:
                 self.next_doubt = now + every
                 self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
-        elif self.first_looks < min(len(self.tuns), self.ready):
-            # So is one never looked at: the first round of a large fleet would be half a minute of guessing.
-            # A relay that holds little needs to know little, and all relays may have started together.
-            self.first_looks += 1
-            member = self._unseen_longest()
-            if not member.probe_at:
-                self._ask(now, member)
 
-    def _unseen_longest(self) -> Member:
-        return next(member for member in self.turns.values() if member.standing is Standing.READY)
+    def _next_turn(self, now: int) -> Member:
+        """The longest unseen, which meets new members soon, with a head start for those with clients here."""
+        first = next(member for member in self.turns.values() if member.standing is Standing.READY)
+        held = min((member for member in self.holding.values() if member.standing is Standing.READY),
+                   key=lambda member: (member.probe_at, member.tie), default=first)
+        return held if HELD_SOONER * (now - held.probe_at) > now - first.probe_at else first
 
     def _probe_every(self, now: int) -> int:
         """The pace of steady probes: a relay that places few tunnels needs few, and has many beside it."""
         if not self.facts.delays_told:
             # Only a probe tells that a backend has turned slow, and open tunnels wait for it, not new ones.
-            return PROBE_EVERY
+            return int(min(max(PROBE_EVERY, HELD_SEEN / max(1, len(self.holding))), PROBE_SELDOM))
         probes = PROBES_A_TUNNEL * self._arrivals_a_second(now)
         return int(min(max(PROBE_EVERY, SECOND / max(probes, 0.1)), PROBE_SELDOM))
 
