--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -37,7 +37,8 @@
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
 # Steady probes are so far apart that all members with clients here could be seen within the first, and their
-# turn comes so many times sooner: one of dozens of relays holds clients at two or three, and can't help the rest.
+# turn comes so many times sooner: one of dozens of relays holds clients at two or three, and has no help for
+# the rest.
 HELD_SEEN, HELD_SOONER = 5 * SECOND, 3
 SKIP_FACTOR = 1.5
 # Weights within this part of a doubling rank as equal, in each relay's own order: hundreds of relays that see
@@ -911,7 +912,8 @@
     def _empty(self, now: int, tuns: dict[int, Tunnel], by: int) -> None:
         """Moves a tick's part of the tunnels: all are to be gone by then, and not come back as one wave."""
         staying = [tun_id for tun_id, tun in tuns.items() if tun.opened_at and not tun.moved]
-        for tun_id in staying[:math.ceil(len(staying) * TICK / max(TICK, by - now))]:
+        # One among dozens of relays holds one or two there. Rounded up, all would send them away in one tick.
+        for tun_id in staying[:int(len(staying) * TICK / max(TICK, by - now) + self.chance())]:
             self._move(tun_id)
 
     def _relieve(self, now: int) -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -209,6 +209,19 @@
     assert answers[7] and answers[None] and set(answers) == {7, None}
 
 
+def test_all_relays_together_empty_a_draining_member_bit_by_bit() -> None:
+    ledgers = [fleet(4, 0.5, relays=40, me=me, seed=me) for me in range(40)]
+    left = []
+    for ledger in ledgers:
+        ledger.adopt(0)
+        ledger.tell(ListForm.CHANGES, listed(0, Standing.DRAINING))
+    for _ in range(17):
+        for ledger in ledgers:
+            ledger.run(250 * MS)
+        left.append(sum(not ledger.moves for ledger in ledgers))
+    assert left[3] >= 20 and left[7] >= 8 and not left[-1]
+
+
 def test_the_cold_budget_waits_until_half_of_the_fleet_was_seen() -> None:
     ledger = fleet(8, None, relays=1)
     ledger.report(0, 0.5)
