--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -142,7 +142,8 @@
         """What a fresh start of the backend makes untrue."""
         self.asked = -1.0
         self.load_then = self.credit = 0.0
-        self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = self.credit_at = 0
+        self.seen_at = self.eased_at = self.full_until = self.out_until = self.delay_at = 0
+        self.credit_at = -1
         self.delay = self.strikes = 0
         self.shown = (Fading(15 * SECOND), Fading(15 * SECOND))
 
@@ -253,8 +254,8 @@
             if entry.standing is Standing.DRAINING and member.standing is not Standing.DRAINING:
                 member.drain_by = now + EMPTY_WITHIN
             member.started, member.standing = entry.started, entry.standing
-            if not member.credit_at:
-                member.credit, member.credit_at = self.chance(), now
+            if member.credit_at < 0:
+                member.credit, member.credit_at = self.chance(), 0
         self._rank()
 
     def knows(self, now: int, outlook: Outlook) -> None:
@@ -393,14 +394,17 @@
         """Whether a tunnel is within this relay's share of a cold member's budget.
 
         It grows with time and is spent a tunnel at a time. It starts by chance below one: hundreds of relays
-        come to their first at different times, and together keep the pace that one alone would keep.
+        come to their first at different times, and together keep the pace that one alone would keep. Each
+        tunnel brings at most what has grown since the cell's last one usually comes, and the first no less:
+        by time alone most of the budget would lie with those of dozens of relays that nobody comes to.
         """
         facts = self.facts
         if not self._is_cold(now, member):
             return True
         part = facts.cold_from + (1 - facts.cold_from) * (now - member.started) / facts.warm_within
-        grown = COLD_CARE * facts.fall_multiple * part * self.rate * (now - member.credit_at) / SECOND
-        member.credit = min(member.credit + grown, 1.0 + size)
+        gap = self.ready / len(self.cells[member.cell]) / max(self._arrivals_a_second(now), 0.01)
+        pace = COLD_CARE * facts.fall_multiple * part * self.rate
+        member.credit = min(member.credit + pace * min((now - member.credit_at) / SECOND, gap), 1.0 + size)
         member.credit_at = now
         return member.credit >= 1.0 and size <= COLD_HEAVY
 
@@ -842,12 +846,11 @@
                     if now - member.probe_at >= every and member.standing is Standing.READY and (
                         member.strikes or max(member.asked, self._asked(now, member)) > DROWNING
                         or now < member.full_until)]
-        if doubtful:
-            # One in the time of a steady probe: in a storm that all relays feel, more of them cost the fleet
-            # more than the news is worth.
-            if now >= self.next_doubt:
-                self.next_doubt = now + every
-                self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
+        # One in the time of a steady probe: in a storm that all relays feel, more of them cost the fleet more
+        # than the news is worth.
+        if doubtful and now >= self.next_doubt:
+            self.next_doubt = now + every
+            self._ask(now, min(doubtful, key=lambda member: (member.probe_at, member.tie)))
 
     def _next_turn(self, now: int) -> Member:
         """The longest unseen, which meets new members soon, with a head start for those with clients here."""
@@ -865,7 +868,10 @@
         return int(min(max(PROBE_EVERY, SECOND / max(probes, 0.1)), PROBE_SELDOM))
 
     def _arrivals_a_second(self, now: int) -> float:
-        return self.arrivals.read(now) / (self.arrivals.life / SECOND)
+        life = self.arrivals.life
+        # A relay that has just started has not seen that long.
+        seen = life * (1 - math.exp((self.facts.now - now - MS) / life))
+        return self.arrivals.read(now) * SECOND / seen
 
     def _ask(self, now: int, member: Member) -> None:
         member.probe_at = now
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -209,6 +209,25 @@
     assert answers[7] and answers[None] and set(answers) == {7, None}
 
 
+def test_a_cold_member_is_filled_though_most_relays_are_come_to_seldom() -> None:
+    ledgers = [fleet(4, 0.5, cells=1, relays=40, me=me, seed=me) for me in range(40)]
+    for me, ledger in enumerate(ledgers):
+        for ep in range(4):
+            ledger.adopt(ep)
+        for turn in range(20):
+            ledger.run(SECOND)
+            for ep in range(4):
+                ledger.report(ep, 0.5)
+            if (turn + me) % 10 == 0:
+                ledger.end(ledger.arrive(key=f"{me} {turn}"), Outcome.DONE)
+        ledger.tell(ListForm.CHANGES, listed(7, started=ledger.now - SECOND, cells=1))
+    # One tunnel each in 3 s, a third of the time between two: the budget is 25 of those 40.
+    for me, ledger in enumerate(ledgers):
+        ledger.run(me * 75 * MS)
+        ledger.arrive(key=f"late {me}")
+    assert 8 <= sum(ledger.cases[len(ledger.cases) - 1].setups[0][0] == 7 for ledger in ledgers) <= 25
+
+
 def test_all_relays_together_empty_a_draining_member_bit_by_bit() -> None:
     ledgers = [fleet(4, 0.5, relays=40, me=me, seed=me) for me in range(40)]
     left = []
