--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -34,6 +34,10 @@
 
 TICK = 250 * MS
 PROBE_EVERY, PROBE_SELDOM, LOG_EVERY = SECOND, 4 * SECOND, 10 * SECOND
+# The list is one service for all relays: it takes calls in turn, and works on those too that nobody waits for
+# any more. So first calls are spread, over this for each relay that may have started too, and one that failed
+# is not made again before what it stood behind is done.
+LIST_TURN, LIST_AGAIN = 100 * MS, 4 * SECOND
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
 # Steady probes are so far apart that all members with clients here could be seen within the first, and their
@@ -209,7 +213,6 @@
         self.capacity: defaultdict[int, tuple[Fading, Fading]] = defaultdict(
             lambda: (Fading(40 * SECOND), Fading(40 * SECOND)))
         self.arrivals, self.retries = Fading(10 * SECOND), Fading(10 * SECOND)
-        self.met: set[str] = set()
         self.setup_time = (Fading(20 * SECOND), Fading(20 * SECOND), Fading(20 * SECOND))
         self.in_flight, self.window = 0, math.inf
         self.failures, self.openings = Fading(3 * SECOND), Fading(3 * SECOND)
@@ -219,10 +222,10 @@
         self.stop_by = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
-        self.list_waits = SECOND
+        self.list_waits = LIST_AGAIN
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
         if facts.must_ask:
-            host.watch()
+            host.wake(int(self.chance() * min(LIST_AGAIN, LIST_TURN * facts.relays)), LIST_TOKEN)
         host.wake(int(TICK * (0.5 + 0.5 * self.chance())), TICK_TOKEN)
 
     # -- the list ------------------------------------------------------------------------------
@@ -231,10 +234,10 @@
         if form is ListForm.UNAVAILABLE:
             # Every relay loses the list together: jitter, so that they don't all ask again together.
             self.host.wake(int(self.list_waits * (0.5 + self.chance())), LIST_TOKEN)
-            self.list_waits = min(self.list_waits * 2, max(SECOND, self.facts.ask_every // 3 or 4 * SECOND))
+            self.list_waits = min(self.list_waits * 2, max(SECOND, self.facts.ask_every or 2 * LIST_AGAIN))
             return
         if form is not ListForm.RESTORED:
-            self.list_waits = SECOND
+            self.list_waits = LIST_AGAIN
         if form is not ListForm.CHANGES:
             named = {entry.ep for entry in entries}
             for member in self.members.values():
@@ -434,12 +437,8 @@
         self.tuns[tun_id] = tun
         self.arrivals.add(now, 1)
         # A storm of returning clients says nothing of what is asked for.
-        if not returning and key not in self.met:
+        if not returning:
             self.asked_for[profile].add(now, 1)
-        if key is not None:
-            if len(self.met) >= 4000:
-                self.met.clear()  # at once: in a flood of new ones a sweep for each would cost too much
-            self.met.add(key)
         self._place(now, tun_id, tun)
 
     def _learn_load(self, now: int, profile: int, load: float) -> None:
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -116,8 +116,9 @@
         self.handover: Handover | None = None
         self.module.start(facts, balancer)
         self.boxes.take_in(ListForm.RESTORED, orders.known["members"])
-        # Where the module is told of changes unasked, it leaves the asking to its host.
-        self.watching.start()
+        if not facts.must_ask:
+            # Where the module is told of changes unasked, it leaves the asking to its host.
+            self.watching.start()
 
     def open(self, orders: StartingOrders) -> None:
         """Raises CannotListenError."""
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -193,6 +193,9 @@
             # Nobody has such a backend. It may only be new since this relay's list was made.
             self.close_with_error(tun)
         else:
+            if age < ADOPT_AGAIN:
+                # The first call may be put off, as all relays start together; who waits for it may not.
+                self.module.watch()
             self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
 
     # -- what the backends' side tells -------------------------------------------------------------
