--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -153,7 +153,9 @@
 
     def opened(self, line: bytes) -> None:
         self.is_open = True
-        self.send_line(line)
+        # To the system at once: its backend may reset the connection in the same turn of the reactor, this end
+        # is reset with it, and an answer that still waited for the reactor would be lost.
+        self.send_lines([line])
 
     def decline(self, come_back: int) -> None:
         self.send_line(b"BUSY %d" % (come_back // MS) if come_back >= MS else b"BUSY")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -268,7 +268,8 @@
 
 
 class Backend(Listening):
-    """Answers OPEN by the next of its modes, the last for good: a line, "reset" or "hang". Then it echoes."""
+    """Answers OPEN by the next of its modes, the last for good: a line, perhaps with " then reset", "reset" or
+    "hang". Then it echoes."""
 
     def __init__(self, name: str, *modes: str) -> None:
         self.name = name
@@ -317,7 +318,10 @@
                 if mode.startswith("UP"):
                     self.opened.append(link)
                 if mode != "hang":
-                    link.sendall(mode.encode() + b"\r\n")
+                    link.sendall(mode.removesuffix(" then reset").encode() + b"\r\n")
+                if mode.endswith(" then reset"):
+                    reset(link, lines)
+                    return
 
 
 def http(body: bytes) -> bytes:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -277,6 +277,13 @@
         assert relay.client().open("new") == "UP r" and len(backends[0].heads) == held
 
 
+def test_a_backend_that_resets_right_after_its_answer_does_not_take_the_answer_along(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a", "UP r then reset")]) as relay:
+        # Flagged by its drops it gets nothing for a while, and then BUSY is the answer.
+        answers = {relay.client().open(str(number)) for number in range(60)}
+        assert "UP r" in answers and answers <= {"UP r", "BUSY"}
+
+
 def test_slots_run_out_without_harm_and_come_back(tmp_path: Path) -> None:
     backend = Backend("a")
     with Program(tmp_path, [backend], limits={"cores": 1, "memory_mb": 192, "sockets": 200}) as relay:
