--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -268,7 +268,7 @@
 
 
 class Backend(Listening):
-    """Answers OPEN by the next of its modes, the last for good: a line, perhaps with " then reset", "reset" or
+    """Answers OPEN by the next of its modes, the last for good: a line (perhaps " then reset"), "reset" or
     "hang". Then it echoes."""
 
     def __init__(self, name: str, *modes: str) -> None:
