--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -153,8 +153,8 @@
 
     def opened(self, line: bytes) -> None:
         self.is_open = True
-        # To the system at once: its backend may reset the connection in the same turn of the reactor, and what
-        # still waited here would go with it.
+        # To the system at once: its backend may reset the connection in the same turn of the reactor, and
+        # what still waited here would go with it.
         self.send_lines([line])
 
     def decline(self, come_back: int) -> None:
