Relays know each other over UDP where an operator file says so; run has no way to it

Cause: the peers' machine had no socket, no switch and nothing that staff could ask. Relay.listens keeps a hearer whatever the file says later. Measured: with three to four processes a kill, a stop and let go, a restart, all anew, two of one name, a taken port and a flood of 24,000 datagrams end in the view that they should; run starts as fast and as small as with the packages taken out, eleven pairs, no datagram socket, nothing imported.

--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -4,31 +4,52 @@
 
 import os
 import sys
+from typing import TYPE_CHECKING
 
-from cedarledge.net.config import BadConfigError, read_orders
-from cedarledge.net.relay import ReadOperatorFile, run
+from cedarledge.net.config import BadConfigError, StartingOrders, read_orders
+from cedarledge.net.relay import ReadOperatorFile, Relay, run
+
+if TYPE_CHECKING:
+    from cedarledge.operator.file import OperatorFile
 
 CAN_NOT_START = 2
 
 
 def _reader(path: str) -> ReadOperatorFile:
     # Only with a file: it takes msgspec, which the platform's relay does without.
-    from cedarledge.operator.file import OperatorFile, read_operator_file
+    from cedarledge.operator.file import read_operator_file
     from cedarledge.operator.tables import BadFileError
 
+    first: list[OperatorFile] = []
+
     def read() -> OperatorFile:
         try:
-            return read_operator_file(path)
+            wanted = read_operator_file(path)
         except BadFileError as why:
             raise BadConfigError("; ".join(why.problems)) from why
+        first.append(wanted)
+        changed = first[0].changed_in_place(wanted)
+        del first[1:]
+        if changed:
+            raise BadConfigError(f"[{changed[0]}] in {path} has changed, which takes a restart")
+        return wanted
 
     return read
 
 
+def _joins(relay: Relay, orders: StartingOrders, wanted: OperatorFile) -> None:
+    if wanted.things_on():
+        from cedarledge.fleet import join
+
+        join(relay, orders, wanted)
+
+
 def start(operator_file: str | None = None) -> int:
     """Runs the relay and gives its exit code; 2 where it could not start, with one line that says why."""
     try:
-        return run(read_orders(os.environ), None if operator_file is None else _reader(operator_file))
+        if operator_file is None:
+            return run(read_orders(os.environ))
+        return run(read_orders(os.environ), _reader(operator_file), joins=_joins)
     except BadConfigError as why:
         sys.stderr.write(f"cedarledge: {why}\n")
         return CAN_NOT_START
--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -22,6 +22,7 @@
 from cedarledge import __version__
 from cedarledge.model.command import model, seeds_of
 from cedarledge.operator.tables import BadFileError
+from cedarledge.peers.staff import peers
 from cedarledge.rig.variants import BASELINES
 
 BROKEN, UNUSABLE, LATE = 1, 2, 3
@@ -67,10 +68,11 @@
     from cedarledge.rig.scenario import load_scenario
 
     try:
-        load_scenario(file) if scenario else read_operator_file(file)
+        told = load_scenario(file) if scenario else read_operator_file(file)
     except BadFileError as why:
         _refuse(why)
-    click.echo(f"{file}: good")
+    on = [] if scenario else told.things_on()
+    click.echo(f"{file}: good" + (f"; on: {', '.join(on)}" if on else ""))
 
 
 def _sizes(command: Callable[..., None]) -> Callable[..., None]:
@@ -85,6 +87,7 @@
 
 
 main.add_command(model)
+main.add_command(peers)
 
 
 @main.group()
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -29,7 +29,7 @@
 from cedarledge.net.logs import begin_logging, log_to_stderr
 from cedarledge.net.module import MakeBalancer, Module
 from cedarledge.net.paces import Paces
-from cedarledge.net.seams import Front
+from cedarledge.net.seams import Front, Hearer
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
 from cedarledge.net.tunnels import Tunnels
@@ -51,6 +51,7 @@
 # of the tunnels that must have come from another relay of late for that.
 KILL_LATER, LATE, REFUGEES = 300 * MS, 0.65, 0.12
 ReadOperatorFile = Callable[[], "OperatorFile"]
+Joins = Callable[["Relay", StartingOrders, "OperatorFile"], None]
 
 
 def _may_hold(sockets: int) -> int:
@@ -114,6 +115,7 @@
         self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.backends,
                                self.front)
         self.handover: Handover | None = None
+        self.listeners: list[Hearer] = []
         self.module.start(facts, balancer)
         self.boxes.take_in(ListForm.RESTORED, orders.known["members"])
         if not facts.must_ask:
@@ -153,6 +155,11 @@
         self.module.tell(self.module.balancer.probed, ep, answered, report)
         self.hearers.tell("probed", ep, answered, report)
 
+    def listens(self, hearer: Hearer) -> None:
+        """Adds a hearer that stays whatever the operator's file says later."""
+        self.listeners.append(hearer)
+        self.hearers.add(hearer)
+
     # -- a new configuration -----------------------------------------------------------------------
 
     def reload(self, read_operator_file: ReadOperatorFile | None = None) -> None:
@@ -174,6 +181,8 @@
         """The operator's file takes effect, at the start and on SIGHUP."""
         log_to_stderr(wanted.log.level, wanted.log.form, wanted.log.waiting_kb << 10)
         self.hearers.clear()
+        for hearer in self.listeners:
+            self.hearers.add(hearer)
         self.hearers.most = int(wanted.hearers.most_share * SECOND)
         self.hearers.left_out = int(wanted.hearers.left_out_s * SECOND)
         if wanted.log.events:
@@ -221,8 +230,9 @@
 
 
 def run(orders: StartingOrders, read_operator_file: ReadOperatorFile | None = None,
-        balancer: MakeBalancer = Balancer) -> int:
-    """Runs one relay until it is told to end, and gives its exit code. Raises BadConfigError."""
+        balancer: MakeBalancer = Balancer, joins: Joins | None = None) -> int:
+    """Runs one relay until it is told to end, and gives its exit code. `joins` adds what the operator's file
+    has on. Raises BadConfigError."""
     from twisted.internet import reactor
 
     wanted = read_operator_file() if read_operator_file is not None else None
@@ -237,6 +247,8 @@
         raise BadConfigError(str(why)) from why
     logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.boxes.ready),
                 relay.tunnels.table.most)
+    if joins is not None and wanted is not None:
+        joins(relay, orders, wanted)
     # A handler may run anywhere, so it only leaves word. Without one SIGHUP would end the process, and
     # Twisted's own for SIGTERM the reactor, each with every connection.
     signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(relay.reload, read_operator_file))
--- a/cedarledge/operator/file.py
+++ b/cedarledge/operator/file.py
@@ -10,6 +10,8 @@
 
 from cedarledge.operator.tables import read_file
 
+# Tables that are read at the start alone, each with a switch of its own, which ships off.
+RESTART_ONLY = ("peers",)
 BoxName = Annotated[str, Meta(min_length=1, max_length=256)]
 
 
@@ -50,12 +52,51 @@
     left_out_s: Annotated[float, Meta(ge=1, le=3600)] = 30.0
 
 
+class PeersTable(msgspec.Struct, frozen=True):
+    """Relays that know each other. Takes effect at the start alone."""
+
+    on: bool = False
+    fleet: Annotated[str, Meta(max_length=64)] = ""  # who has another one is no peer
+    listen: Annotated[str, Meta(max_length=21)] = ""  # UDP; loopback or private, as there is no sign-in
+    told: Annotated[str, Meta(max_length=21)] = ""  # where others find it, if not at `listen`
+    seeds: Annotated[tuple[Annotated[str, Meta(max_length=21)], ...], Meta(max_length=64)] = ()
+    region: Annotated[str, Meta(max_length=64)] = ""
+    probe_every_ms: Annotated[int, Meta(ge=100, le=10_000)] = 500
+
+    def __post_init__(self) -> None:
+        if not self.on:
+            return
+        # Only here: a relay without peers needs nothing of theirs.
+        from cedarledge.peers.messages import near
+
+        if not self.fleet:
+            raise ValueError("fleet: missing, and peers are on")
+        if not self.listen:
+            raise ValueError("listen: missing, and peers are on")
+        for name, addresses in (("listen", (self.listen,)), ("told", (self.told,)), ("seeds", self.seeds)):
+            for address in filter(None, addresses):
+                try:
+                    near(address)
+                except ValueError as why:
+                    expected = "an IPv4 address and a port, loopback or private"
+                    raise ValueError(f"{name}: expected {expected}, got {address!r}: {why}") from why
+
+
 class OperatorFile(msgspec.Struct, frozen=True):
     """All tables. Each has defaults, and an empty file is a good one."""
 
     log: LogTable = LogTable()
     boxes: BoxesTable = BoxesTable()
     hearers: HearersTable = HearersTable()
+    peers: PeersTable = PeersTable()
+
+    def things_on(self) -> list[str]:
+        """What ships switched off and is on here."""
+        return [name for name in RESTART_ONLY if getattr(self, name).on]
+
+    def changed_in_place(self, other: OperatorFile) -> list[str]:
+        """Tables that differ though they take effect at the start alone."""
+        return [name for name in RESTART_ONLY if getattr(self, name) != getattr(other, name)]
 
 
 def read_operator_file(path: str | Path) -> OperatorFile:
--- a/cedarledge/peers/machine.py
+++ b/cedarledge/peers/machine.py
@@ -208,9 +208,17 @@
             self.counts["foreign"] += 1
         elif message.format < OLDEST:
             self.counts["old"] += 1
+        elif message.kind is Kind.SHOW:
+            self._show(message)
         elif not (message.name == self.name and message.life == self.life) and not self.left:
             self._take(message)
 
+    def _show(self, message: Message) -> None:
+        """To staff on this machine alone, wherever the question came from."""
+        host, _ = near(message.address)
+        if host == near(self.address)[0] or host.startswith("127."):
+            self.host.send(message.address, encode(self.view(self.now, message.number)))
+
     def tell(self, now: int, **fields: Value) -> None:
         """What this relay says of itself has changed. Told with the next news; Raises ValueError for what is
         too large together."""
--- /dev/null
+++ b/cedarledge/peers/staff.py
@@ -0,0 +1,99 @@
+"""What staff ask of a running relay's peers: `cedarledge peers FILE`."""
+
+from __future__ import annotations
+
+import json
+import socket
+import sys
+import time
+
+import click
+import msgspec
+
+from cedarledge.operator.file import PeersTable, read_operator_file
+from cedarledge.operator.tables import BadFileError
+from cedarledge.peers.messages import FORMAT, Kind, Message, Row, View, decode_view, encode, near
+
+TRIES, WAIT = 4, 0.5
+NO_ANSWER, UNUSABLE = 1, 2
+
+
+class NoAnswerError(Exception):
+    """The relay did not answer."""
+
+
+def view_of(table: PeersTable) -> View:
+    """The whole view of the relay that listens where the table says. Raises NoAnswerError."""
+    target = near(table.listen)
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as link:
+        link.settimeout(WAIT)
+        link.bind((target[0], 0))
+        rows: list[Row] = []
+        while True:
+            part = _ask(link, target, table, len(rows))
+            rows += part.rows
+            if not part.rows or len(rows) >= part.total:
+                return msgspec.structs.replace(part, rows=rows)
+
+
+def _ask(link: socket.socket, target: tuple[str, int], table: PeersTable, first: int) -> View:
+    own = "{}:{}".format(*link.getsockname())
+    asked = encode(Message(FORMAT, table.fleet, Kind.SHOW, "staff", own, 0, 0, first))
+    for _ in range(TRIES):
+        link.sendto(asked, target)
+        try:
+            part = decode_view(link.recv(65536))
+        except (TimeoutError, ConnectionError, msgspec.MsgspecError):
+            continue
+        if part.first == first:
+            return part
+    raise NoAnswerError(
+        f"no answer from {table.listen}: does a relay of the fleet {table.fleet!r} listen there?"
+    )
+
+
+def table_of(view: View) -> str:
+    lines = [f"{'name':20} {'zone':12} {'state':9} {'for':>9} {'inc.':>5} {'program':10} {'relay':8} address"]
+    for row in view.rows:
+        told = row.told
+        since = f"{row.for_ms / 1000:.0f} s" if row.for_ms else ""
+        lines.append(
+            f"{row.name:20} {told.get('zone', ''):12} {row.state:9} {since:>9} {row.incarnation:5} "
+            f"{told.get('version', ''):10} {told.get('state', ''):8} {row.address}"
+        )
+    dropped = ", ".join(f"{count} {name}" for name, count in view.counts.items() if count)
+    lines.append(f"local health {view.health} (0 is good)" + (f"; dropped: {dropped}" if dropped else ""))
+    return "\n".join(lines)
+
+
+@click.command()
+@click.argument("file", type=click.Path(dir_okay=False))
+@click.option("--watch", is_flag=True, help="Ask again each second, until Ctrl-C.")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object a look.")
+def peers(file: str, watch: bool, as_json: bool) -> None:
+    """Who else is there, as the relay sees it that runs with this operator FILE."""
+    try:
+        table = read_operator_file(file).peers
+        if not table.on:
+            raise BadFileError([f"{file}: peers.on is not true; a relay with this file has no peers"])
+    except BadFileError as why:
+        for problem in why.problems:
+            click.echo(f"cedarledge: {problem}", err=True)
+        sys.exit(UNUSABLE)
+    while True:
+        try:
+            view = view_of(table)
+            click.echo(json.dumps(msgspec.to_builtins(_named(view))) if as_json else table_of(view))
+        except (NoAnswerError, OSError) as why:
+            click.echo(f"cedarledge: {why}", err=True)
+            if not watch:
+                sys.exit(NO_ANSWER)
+        if not watch:
+            return
+        time.sleep(1)
+
+
+def _named(view: View) -> dict[str, object]:
+    """With names: structs are arrays on the wire, which staff should not have to count."""
+    told = msgspec.structs.asdict(view)
+    return told | {"rows": [msgspec.structs.asdict(row) for row in view.rows]}
--- /dev/null
+++ b/tests/test_peers_processes.py
@@ -0,0 +1,324 @@
+"""Several processes of the program that know each other, what is done to them, and `run`, which knows
+nothing of it."""
+
+from __future__ import annotations
+
+import json
+import os
+import shutil
+import signal
+import socket
+import statistics
+import subprocess
+import sys
+import time
+import tomllib
+from contextlib import ExitStack, contextmanager, suppress
+from pathlib import Path
+
+from helpers import Backend, Program, until
+from pytest import mark
+
+from cedarledge.operator.file import read_operator_file
+from cedarledge.peers.messages import FORMAT, Kind, Message, encode
+from cedarledge.peers.staff import NoAnswerError, view_of
+
+SOURCE = Path(__file__).parents[1]
+FILE = '[peers]\non = true\nfleet = "t"\nlisten = "{}"\nseeds = [{}]\n[log]\nform = "json"\n'
+
+
+class Relays:
+    """Relays of one fleet, each with a file of its own, before the same backends."""
+
+    def __init__(self, stack: ExitStack, folder: Path, backends: list[Backend], names: list[str]) -> None:
+        self.stack, self.folder, self.backends = stack, folder, backends
+        taken = [stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM)) for _ in names]
+        for link in taken:
+            link.bind(("127.0.0.1", 0))
+        self.addresses = ["{}:{}".format(*link.getsockname()) for link in taken]
+        for link in taken:
+            link.close()
+        self.programs = [self.start(place, name) for place, name in enumerate(names)]
+
+    def start(self, place: int, name: str, text: str = "") -> Program:
+        folder = self.folder / f"{place}-{name}"
+        folder.mkdir(exist_ok=True)
+        seeds = ", ".join(f'"{address}"' for address in self.addresses[:3])
+        (folder / "file").write_text(text or FILE.format(self.addresses[place], seeds))
+        arguments = ["relay", "--file", str(folder / "file")]
+        return self.stack.enter_context(Program(folder, self.backends, arguments, name=name))
+
+    def view(self, place: int) -> dict[str, str]:
+        """Name and state of all that this one knows, itself too."""
+        with suppress(NoAnswerError):
+            return {row.name: row.state for row in self.rows(place)}
+        return {}
+
+    def rows(self, place: int) -> list:
+        return view_of(read_operator_file(next(self.folder.glob(f"{place}-*")) / "file").peers).rows
+
+    def all_see(self, *expected: str) -> bool:
+        """Everybody's view is these, all alive, and nobody else there."""
+        return all(
+            {name for name, state in self.view(place).items() if state in ("alive", "self")} == set(expected)
+            for place, program in enumerate(self.programs)
+            if program.process.poll() is None
+        )
+
+
+@contextmanager
+def relays(folder: Path, *names: str):
+    with ExitStack() as stack:
+        fleet = Relays(stack, folder, [Backend("b-a"), Backend("b-b")], list(names))
+        until(lambda: fleet.all_see(*names), 10)
+        yield fleet
+
+
+def logged(program: Program, event: str) -> list[dict]:
+    lines = [json.loads(line) for line in program.log.read_text().splitlines() if line.startswith("{")]
+    return [line for line in lines if line.get("event") == event]
+
+
+def test_a_kill_a_stop_a_restart_and_a_planned_end_are_told_apart_in_time(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1", "n2", "n3") as fleet:
+        until(lambda: all("state" in row.told for row in fleet.rows(0)), 10)
+        told = {row.name: row.told for row in fleet.rows(0)}
+        assert [told[name]["state"] for name in ("n0", "n1", "n2", "n3")] == ["ready"] * 4
+        assert len({told[name]["settings"] for name in told}) == 1 and told["n1"]["zone"] == "here"
+        client = fleet.programs[0].client()
+        assert client.open() == "UP r"
+        until(lambda: {row.name: row.told for row in fleet.rows(2)}["n0"].get("tunnels") == 1, 10)
+        # Faster than it can be suspected: nobody ever holds it dead.
+        fleet.programs[3].process.kill()
+        fleet.programs[3].process.wait()
+        fleet.programs[3].start()
+        until(lambda: fleet.all_see("n0", "n1", "n2", "n3"), 10)
+        # Killed for good, while it held a client.
+        assert fleet.programs[1].client().open() == "UP r"
+        fleet.programs[1].process.kill()
+        until(lambda: {fleet.view(place).get("n1") for place in (0, 2, 3)} == {"dead"}, 10)
+        # Stopped, and let go: it was dead to the others, and holds none of them dead when it wakes.
+        fleet.programs[2].process.send_signal(signal.SIGSTOP)
+        until(lambda: fleet.view(0)["n2"] == "dead" and fleet.view(3)["n2"] == "dead", 12)
+        fleet.programs[2].process.send_signal(signal.SIGCONT)
+        until(lambda: fleet.all_see("n0", "n2", "n3"), 8)
+        assert not [line for line in logged(fleet.programs[2], "peers.dead") if line["peer"] != "n1"]
+        # A planned end is said, not guessed.
+        fleet.programs[3].ask_to_stop()
+        until(lambda: fleet.view(0)["n3"] == "left" and fleet.view(2)["n3"] == "left", 6)
+        assert [line["peer"] for line in logged(fleet.programs[0], "peers.dead")] == ["n1", "n2"]
+        assert client.say("M 1") == "M 1" and fleet.programs[2].client().open() == "UP r"
+
+
+def test_all_killed_and_started_within_a_second_find_each_other(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1", "n2") as fleet:
+        for program in fleet.programs:
+            program.process.kill()
+        for program in fleet.programs:
+            program.process.wait()
+            program.start()
+        until(lambda: fleet.all_see("n0", "n1", "n2"), 10)
+        assert all(program.client().open() == "UP r" for program in fleet.programs)
+
+
+def test_of_two_relays_of_one_name_one_keeps_silent_and_both_serve(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1", "n2") as fleet:
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as link:
+            link.bind(("127.0.0.1", 0))
+            fleet.addresses.append("{}:{}".format(*link.getsockname()))
+        double = fleet.start(3, "n2")
+        pair = (double, fleet.programs[2])
+        until(lambda: any("another relay of this name" in each.log.read_text() for each in pair), 10)
+        assert all(program.client().open() == "UP r" for program in pair)
+        until(lambda: fleet.view(0) == {"n0": "self", "n1": "alive", "n2": "alive"}, 10)
+
+
+def test_a_port_that_is_taken_and_seeds_that_never_answer_hold_nothing_up(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0") as fleet, socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", 0))
+        fleet.addresses.append("{}:{}".format(*taken.getsockname()))
+        late = fleet.start(1, "n1")
+        assert late.client().open() == "UP r" and "tried again" in late.log.read_text()
+        taken.close()
+        until(lambda: fleet.view(0) == {"n0": "self", "n1": "alive"}, 10)
+        silent = FILE.format(
+            fleet.addresses[1].replace("127.0.0.1", "127.0.0.2"), '"127.0.0.9:9", "10.255.255.1:9"'
+        )
+        assert fleet.start(2, "n9", silent).client().open() == "UP r"
+        assert fleet.view(2) == {"n9": "self"}
+
+
+def test_a_flood_at_the_peers_port_holds_up_no_placement_and_takes_no_memory(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1") as fleet:
+        target = fleet.programs[0]
+
+        def resident() -> int:
+            text = Path(f"/proc/{target.process.pid}/status").read_text()
+            return int(text.split("VmRSS:")[1].split()[0])
+
+        host, _, port = fleet.addresses[0].rpartition(":")
+        before, sent, took = resident(), 0, []
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as link:
+            for number in range(60):
+                forged = Message(FORMAT, "t", Kind.PING, f"x{number}", "127.0.0.9:9", 1, 0, 0, "n0")
+                for data in (b"", b"\x00" * 1200, encode(forged), b"\x93\x01\xa1t\x00") * 100:
+                    with suppress(OSError):
+                        sent += link.sendto(data, (host, int(port))) >= 0
+                start = time.monotonic()
+                assert target.client().open(str(number)) == "UP r"
+                took.append(time.monotonic() - start)
+        assert sent > 10_000 and statistics.median(took) < 0.1 and max(took) < 1
+        assert resident() - before < 12 << 10
+        until(lambda: fleet.view(0).get("n1") == "alive" and fleet.view(1).get("n0") == "alive", 20)
+
+
+def test_a_change_of_peers_on_sighup_is_one_refused_line_and_all_goes_on(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1") as fleet:
+        path = tmp_path / "0-n0" / "file"
+        good = path.read_text()
+        for text in (good.replace("true", "false"), good.replace('"t"', '"u"')):
+            path.write_text(text + "[boxes]\naside = ['b-a', 'b-b']\n")
+            before = fleet.programs[0].log.read_text().count("takes a restart")
+            fleet.programs[0].process.send_signal(signal.SIGHUP)
+            until(lambda before=before: fleet.programs[0].log.read_text().count("takes a restart") > before)
+        path.write_text(good)
+        assert fleet.programs[0].log.read_text().count("takes a restart") == 2
+        assert fleet.view(0) == {"n0": "self", "n1": "alive"} and fleet.programs[0].client().open() == "UP r"
+        said = fleet.programs[0].log.read_text()
+        assert said.count("on by the operator file: peers") == 1
+
+
+def command(*arguments: str, path: Path) -> subprocess.CompletedProcess:
+    return subprocess.run(
+        [sys.executable, "-m", "cedarledge", *arguments, str(path)],
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+
+
+@mark.parametrize(
+    "text,place",
+    [
+        ('on = true\nfleet = "t"\nlisten = "8.8.8.8:7"', "peers: listen: expected an IPv4 address"),
+        ('on = true\nfleet = "t"\nlisten = "0.0.0.0:7"', "peers: listen: expected an IPv4 address"),
+        ('on = true\nlisten = "127.0.0.1:7"', "peers: fleet: missing"),
+        ('on = true\nfleet = "t"\nlisten = "127.0.0.1:7"\nseeds = ["host:7"]', "peers: seeds: expected"),
+        ('on = "yes"', "peers.on: expected"),
+    ],
+)
+def test_what_can_not_be_on_is_refused_with_its_place(text: str, place: str, tmp_path: Path) -> None:
+    path = tmp_path / "file"
+    path.write_text(f"[peers]\n{text}\n")
+    for arguments in (["check"], ["peers"]):
+        done = command(*arguments, path=path)
+        assert done.returncode == 2 and done.stderr.count("\n") == 1 and place in done.stderr
+
+
+def test_check_says_what_is_on_and_staff_see_the_view(tmp_path: Path) -> None:
+    with relays(tmp_path, "n0", "n1") as fleet:
+        path = tmp_path / "0-n0" / "file"
+        assert command("check", path=path).stdout.endswith("good; on: peers\n")
+        shown = command("peers", path=path)
+        assert shown.returncode == 0 and "n1" in shown.stdout and "ready" in shown.stdout
+        told = json.loads(command("peers", "--json", path=path).stdout)
+        assert [row["name"] for row in told["rows"]] == ["n0", "n1"]
+        fleet.programs[0].process.kill()
+        fleet.programs[0].process.wait()
+        done = command("peers", path=path)
+        assert done.returncode == 1 and "no answer from" in done.stderr
+        path.write_text("")
+        assert "peers.on is not true" in command("peers", path=path).stderr
+
+
+# -- switched off ----------------------------------------------------------------------------------
+
+NEW = ("cedarledge.peers", "cedarledge.model", "cedarledge.fleet", "cedarledge.operator", "msgspec", "click")
+
+
+@contextmanager
+def started(folder: Path, source: Path):
+    """`run` as the deploy file has it, in a folder and an environment that would mislead whoever looks
+    round."""
+    folder.mkdir()
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as ear:
+        ear.bind(("127.0.0.1", 0))
+        port = ear.getsockname()[1]
+        text = FILE.format(f"127.0.0.1:{port + 1 if port < 65535 else port - 1}", f'"127.0.0.1:{port}"')
+        for name in ("operator.toml", "peers.toml", "cedarledge.toml", ".cedarledge"):
+            (folder / name).write_text(text)
+        names = ("OPERATOR_FILE", "FILE", "PEERS", "PEERS_ON", "OPERATOR", "CONFIG_FILE")
+        misleading = {
+            f"{who}_{name}": str(folder / "operator.toml")
+            for who in ("BALANCER", "CEDARLEDGE")
+            for name in names
+        }
+        keys = {name: {"on": True, "listen": f"127.0.0.1:{port}"} for name in ("peers", "operator", "file")}
+        program = Program.__new__(Program)
+        before = {name: os.environ.get(name) for name in ("PYTHONPATH", *misleading)}
+        os.environ.update(misleading | {"PYTHONPATH": str(source)})
+        cwd = Path.cwd()
+        os.chdir(folder)
+        try:
+            program.__init__(folder, [Backend("b")], **keys)
+        finally:
+            os.chdir(cwd)
+            for name, value in before.items():
+                os.environ.pop(name) if value is None else os.environ.update({name: value})
+        with program:
+            yield program, ear
+
+
+def test_run_has_no_way_to_anything_new(tmp_path: Path) -> None:
+    deploy = tomllib.loads((SOURCE / "deploy" / "balancer.toml").read_text())
+    assert deploy["run"] == "exec .venv/bin/python -m cedarledge", "what follows starts it so"
+    with started(tmp_path / "a", SOURCE) as (program, ear):
+        assert program.client().open() == "UP r"
+        process = Path(f"/proc/{program.process.pid}")
+        program.reload()
+        time.sleep(1.5)
+        owned = {os.readlink(path) for path in (process / "fd").iterdir() if path.exists()}
+        sockets = {name[8:-1] for name in owned if name.startswith("socket:")}
+        udp = {line.split()[9] for line in Path("/proc/net/udp").read_text().splitlines()[1:]}
+        assert sockets and not sockets & udp, "no datagram socket"
+        ear.setblocking(False)
+        with suppress(BlockingIOError):
+            assert not ear.recv(100), "no byte"
+    done = subprocess.run(
+        [sys.executable, "-X", "importtime", "-m", "cedarledge"],
+        capture_output=True,
+        text=True,
+        check=False,
+        cwd=SOURCE,
+        env=os.environ | {"BALANCER_CONFIG": str(tmp_path / "none")},
+    )
+    loaded = {
+        line.rpartition("|")[2].strip() for line in done.stderr.splitlines() if line.startswith("import time")
+    }
+    assert "cedarledge.net.relay" in loaded
+    assert not [name for name in loaded if name.startswith(NEW)]
+
+
+def test_run_starts_as_fast_and_as_small_as_without_what_is_new(tmp_path: Path) -> None:
+    """Eleven pairs, against the same program with the new packages taken out of it."""
+    bare = tmp_path / "bare"
+    shutil.copytree(
+        SOURCE / "cedarledge",
+        bare / "cedarledge",
+        ignore=shutil.ignore_patterns("peers", "model", "fleet.py", "operator", "__pycache__"),
+    )
+    figures: dict[str, list[tuple[float, int]]] = {"as it is": [], "bare": []}
+    for turn in range(12):
+        for name, source in (("as it is", SOURCE), ("bare", bare)):
+            with started(tmp_path / f"{name} {turn}", source) as (program, _):
+                process = Path(f"/proc/{program.process.pid}")
+                times = (process / "stat").read_text().rpartition(")")[2].split()
+                peak = int((process / "status").read_text().split("VmHWM:")[1].split()[0])
+                figures[name].append(((int(times[11]) + int(times[12])) / os.sysconf("SC_CLK_TCK"), peak))
+    # The first pair compiles.
+    cpu, memory = (
+        {name: statistics.median(row[place] for row in rows[1:]) for name, rows in figures.items()}
+        for place in (0, 1)
+    )
+    assert cpu["as it is"] <= 1.2 * cpu["bare"] + 0.02
+    assert memory["as it is"] <= 1.02 * memory["bare"]
