--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -154,6 +154,7 @@
     help="A baseline in the relays' place.",
 )
 @click.option("--file", "operator_file", type=click.Path(exists=True), help="Operator file for the relays.")
+@click.option("--off", is_flag=True, help="Without the scenario's own operator file.")
 @click.option("--checkout", type=click.Path(exists=True, file_okay=False), help="Relays of another checkout.")
 @click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the figures there.")
 @click.option("--report", type=click.Path(file_okay=False), help="Write a page with plots into this folder.")
@@ -167,6 +168,7 @@
     seconds: float | None,
     policy: str,
     operator_file: str | None,
+    off: bool,
     checkout: str | None,
     out: str | None,
     report: str | None,
@@ -174,12 +176,14 @@
 ) -> None:
     """Run a SCENARIO, by name or file, and judge it."""
     from cedarledge.rig.demo import LiveTable, summary
-    from cedarledge.rig.scenario import load_scenario
+    from cedarledge.rig.scenario import load_scenario, without_operator
     from cedarledge.rig.schedule import plan_of
     from cedarledge.rig.variants import variant_of
 
     try:
         told = load_scenario(scenario)
+        if off:
+            told = without_operator(told)
         variant = variant_of(policy, operator_file, checkout)
     except BadFileError as why:
         _refuse(why)
@@ -198,6 +202,8 @@
         return [what]
     if what == "cedarledge":
         return [scenario]
+    if what == "off":
+        return [scenario, "--off"]
     if what in BASELINES:
         return [scenario, "--policy", what]
     if Path(what).is_dir():
@@ -240,7 +246,8 @@
 ) -> None:
     """Compare A with B, seed by seed: two scenarios, operator files, checkouts or baselines.
 
-    A baseline is random, fewest, hash or pass; cedarledge stands for the program itself.
+    A baseline is random, fewest, hash or pass; cedarledge stands for the program itself, off for it without
+    the scenario's operator file.
     """
     from cedarledge.rig.compare import compare as pair_up
     from cedarledge.rig.compare import run_all
--- a/cedarledge/operator/tables.py
+++ b/cedarledge/operator/tables.py
@@ -22,15 +22,19 @@
 
 def read_file(path: str | Path, kind: type[Table]) -> Table:
     """A TOML file as a value of that kind. Raises BadFileError with all that is wrong in it."""
+    return read_tables(read_raw(path), kind)
+
+
+def read_raw(path: str | Path) -> dict[str, Any]:
+    """A TOML file, not looked into. Raises BadFileError."""
     try:
-        raw = tomllib.loads(Path(path).read_bytes().decode("utf-8"))
+        return tomllib.loads(Path(path).read_bytes().decode("utf-8"))
     except OSError as why:
         raise BadFileError([f"{path}: {why.strerror}"]) from why
     except UnicodeDecodeError as why:
         raise BadFileError([f"{path}: not UTF-8 at byte {why.start}"]) from why
     except (tomllib.TOMLDecodeError, RecursionError) as why:
         raise BadFileError([f"{path}: not TOML: {why}"]) from why
-    return read_tables(raw, kind)
 
 
 def read_tables(raw: dict[str, Any], kind: type[Table]) -> Table:
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -20,12 +20,22 @@
 from twisted.internet.protocol import ProcessProtocol
 
 from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.rig.schedule import zone_of
 from cedarledge.rig.variants import Variant
 from cedarledge.standins.books import Book, Late, Life, read_books
 from cedarledge.standins.clients import Ping, connect
 from cedarledge.standins.discovery import Discovery
 from cedarledge.standins.judge import Judge, Verdict
-from cedarledge.standins.plan import Act, Plan, Post, discovery_address, relay_address
+from cedarledge.standins.plan import (
+    Act,
+    Plan,
+    Post,
+    discovery_address,
+    discovery_way_address,
+    peer_address,
+    peer_lane_address,
+    relay_address,
+)
 from cedarledge.standins.stage import Stage
 from cedarledge.standins.worker import Lateness
 from cedarledge.terms import MS, SECOND
@@ -202,7 +212,7 @@
         parts = {
             "boxes": 1 + max(len(plan.boxes) // 80, plan.client_terms.standing // 2500),
             "clients": 1 + plan.client_terms.standing // 1200,
-        }
+        } | ({"lanes": 1} if plan.peers or plan.on_ways else {})
         lead = START_WITHIN + START_A_PORT * ports // parts["boxes"] + 200 * MS * sum(parts.values())
         self.begin = time.monotonic_ns() + lead
         self.begin_unix_ms = (time.time_ns() + lead) // MS
@@ -231,6 +241,10 @@
 
     def start(self) -> None:
         self.discovery.open()
+        if self.plan.peers:
+            from cedarledge.rig.looks import Looks
+
+            Looks(self, self.plan.operator["peers"]["fleet"]).open()
         for worker in self.workers:
             self.reactor.spawnProcess(
                 worker,
@@ -252,23 +266,36 @@
                 {
                     "name": f"n{relay}",
                     "listen": f"{relay_address(relay)}:{self.port}",
-                    "discovery": f"{discovery_address(relay)}:{self.port}",
+                    "discovery": f"{self._discovery(relay)}:{self.port}",
                     "seed": f"{chance.getrandbits(64):016x}",
                     "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": self.plan.sockets},
                     "known": self.discovery.known(relay),
                     "settings": self.plan.settings
-                    | {
-                        "me": relay,
-                        "zone": self.plan.settings["dcs"][relay % len(self.plan.settings["dcs"])],
-                    },
+                    | {"me": relay, "zone": zone_of(relay, self.plan.settings["dcs"])},
                 }
             )
         )
         process = self.relays[relay] = RelayProcess(self, relay, self.folder / f"relay-{relay}.log")
         env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_NAME": f"n{relay}"} | self.variant.env
-        self.reactor.spawnProcess(
-            process, self.variant.command[0], self.variant.command, env=env, path=self.variant.cwd
-        )
+        command = self.variant.command
+        if self.plan.operator and self.variant.takes_file:
+            command = [*command, "relay", "--file", self._operator_file(relay)]
+        self.reactor.spawnProcess(process, command[0], command, env=env, path=self.variant.cwd)
+
+    def _discovery(self, relay: int) -> str:
+        return (discovery_way_address if relay in self.plan.on_ways else discovery_address)(relay)
+
+    def _operator_file(self, relay: int) -> str:
+        told = dict(self.plan.operator)
+        if self.plan.peers:
+            told["peers"] = told["peers"] | {
+                "listen": f"{peer_address(relay)}:{self.port}",
+                "told": f"{peer_lane_address(relay)}:{self.port}",
+                "seeds": [f"{peer_lane_address(seed)}:{self.port}" for seed in range(3)],
+            }
+        path = self.folder / f"operator-{relay}.toml"
+        path.write_bytes(msgspec.toml.encode(told))
+        return str(path)
 
     def _begin(self) -> None:
         slow = [worker for worker in self.workers if not worker.ready]
@@ -293,6 +320,9 @@
             process.end("killed", "KILL")
         elif act.what == "stop":
             process.stop()
+        elif act.what in ("pause", "resume"):
+            if not process.over:
+                process.transport.signalProcess(signal.SIGSTOP if act.what == "pause" else signal.SIGCONT)
         elif process.over:
             self.start_relay(act.which)
 
--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from importlib.resources import files
 from pathlib import Path
 from typing import Annotated, Literal
@@ -9,7 +10,8 @@
 import msgspec
 from msgspec import Meta
 
-from cedarledge.operator.tables import BadFileError, read_file
+from cedarledge.operator.file import OperatorFile
+from cedarledge.operator.tables import BadFileError, read_raw, read_tables
 from cedarledge.standins.plan import MOST_BOXES, MOST_RELAYS
 
 Share = Annotated[float, Meta(ge=0, le=1)]
@@ -35,6 +37,21 @@
     "elsewhere",
     "late_up",
     "frozen",
+    "pause",
+    "die_again",
+    "zone_lost",
+    "peers_cut",
+    "peers_one_way",
+    "peers_deaf",
+    "peers_loss",
+    "peers_delay",
+    "peers_twice",
+    "way_cut",
+    "way_one_way",
+    "way_delay",
+    "way_rate",
+    "way_stall",
+    "way_unread",
 ]
 # Kinds whose boxes come back from nothing.
 RESTARTS = frozenset(("crash", "drain", "elsewhere"))
@@ -48,6 +65,8 @@
     length: Above = 8.0
     share: Share = 0.25  # of the boxes, relays or clients it is about
     size: Annotated[tuple[float, ...], Meta(min_length=1, max_length=2)] = (1.0,)  # one figure, or a range
+    reach: Share = 0.3  # of the boxes, on whose ways from those relays it is
+    to: Literal["boxes", "list"] = "boxes"  # which ways, of those that go to no relay
     period: NotBelow = 0.0  # comes and goes: half of it on, half off; 0: on all the time
 
 
@@ -135,6 +154,8 @@
     clients: Clients = Clients()
     box: Boxes = Boxes()
     fault: tuple[Fault, ...] = ()
+    # The operator file of each relay; where peers are on the rig fills in their addresses.
+    operator: OperatorFile = OperatorFile()
 
     def __post_init__(self) -> None:
         if self.warm_up >= self.seconds:
@@ -144,12 +165,23 @@
             if names.count(name) > 1:
                 raise ValueError(f"profile: {name!r} is there twice")
         for number, fault in enumerate(self.fault):
+            if fault.kind.startswith("peers_") and not self.operator.peers.on:
+                raise ValueError(f"fault[{number}].kind: {fault.kind!r} is nothing without operator.peers.on")
             if fault.start >= self.seconds:
                 raise ValueError(
                     f"fault[{number}].start: {fault.start:g} s is past the end, {self.seconds:g} s"
                 )
 
 
+def without_operator(scenario: Scenario) -> Scenario:
+    """The same with nothing on; faults on ways that are not there then are left out."""
+    return msgspec.structs.replace(
+        scenario,
+        operator=OperatorFile(),
+        fault=tuple(fault for fault in scenario.fault if not fault.kind.startswith("peers_")),
+    )
+
+
 def shipped() -> dict[str, Path]:
     """The scenarios that come with the package, by name."""
     folder = Path(str(files("cedarledge.rig") / "scenarios"))
@@ -164,5 +196,9 @@
         raise BadFileError(
             [f"{name_or_path}: no such file, and no scenario of that name; `rig list` has them"]
         )
-    scenario = read_file(path, Scenario)
+    raw = read_raw(path)
+    with contextlib.suppress(KeyError, TypeError, AttributeError):
+        if raw["operator"]["peers"].get("on") is True:
+            raw["operator"]["peers"] = {"fleet": "rig", "listen": "127.0.0.1:1"} | raw["operator"]["peers"]
+    scenario = read_tables(raw, Scenario)
     return msgspec.structs.replace(scenario, name=scenario.name or path.stem)
--- a/cedarledge/rig/schedule.py
+++ b/cedarledge/rig/schedule.py
@@ -6,6 +6,9 @@
 import random
 from typing import Any
 
+import msgspec
+
+from cedarledge.operator.file import OperatorFile
 from cedarledge.rig.scenario import RESTARTS, BoxKind, Fault, Scenario
 from cedarledge.standins.plan import Act, BoxPlan, BoxTerms, ClientTerms, Plan, ProfilePlan
 from cedarledge.terms import MS, SECOND
@@ -21,6 +24,14 @@
 COMING = 300
 
 
+# A process that died is started again this much later, where that is at once.
+AT_ONCE = 0.2
+
+
+def zone_of(relay: int, zones: list[str]) -> str:
+    return zones[relay % len(zones)]
+
+
 def ns(seconds: float) -> int:
     return int(seconds * SECOND)
 
@@ -118,6 +129,8 @@
         scenario.sockets,
         512,
         told_settings(scenario, relays),
+        {} if scenario.operator == OperatorFile() else msgspec.to_builtins(scenario.operator),
+        tuple(sorted({act.relay for act in acts if act.who == "way"})),
     )
 
 
@@ -197,6 +210,8 @@
         self, chance: random.Random, table: tuple[BoxPlan, ...], relays: int, seconds: float
     ) -> None:
         self.chance = chance
+        self.table = table
+        self.zones = list(dict.fromkeys(box.zone for box in table))
         self.relays = relays
         self.seconds = seconds
         self.acts: list[Act] = []
@@ -352,6 +367,107 @@
             self._act(fault.start, "relay", "kill", relay)
             self._act(fault.start + fault.length, "relay", "start", relay)
 
+    def _pause(self, fault: Fault) -> None:
+        """Processes stand still, as under SIGSTOP, and go on."""
+        for relay in self._relays(fault.share):
+            self._act(fault.start, "relay", "pause", relay)
+            self._act(fault.start + fault.length, "relay", "resume", relay)
+
+    def _die_again(self, fault: Fault) -> None:
+        """Killed, started at once, killed again in the middle of what it does then, `size` times."""
+        for relay in self._relays(fault.share):
+            for turn in range(max(1, round(self._size(fault)))):
+                at = fault.start + turn * fault.length
+                self._act(at, "relay", "kill", relay)
+                self._act(at + AT_ONCE, "relay", "start", relay)
+
+    def _zone_lost(self, fault: Fault) -> None:
+        """All of one zone, relays and boxes, end together, and come back together."""
+        zone = self.chance.choice(sorted({box.zone for box in self.table}))
+        lost = [box for box in self.first if self.table[box].zone == zone and box not in self.restarted]
+        self.restarted.update(lost)
+        for box in lost:
+            self._act(fault.start, "box", "stop", box)
+            told = self._between(DEATH_TOLD)
+            if told < fault.length:
+                self._act(fault.start + told, "list", "removed", box)
+            self._starts(box, fault.start + fault.length)
+        for relay in range(self.relays):
+            if zone_of(relay, self.zones) == zone:
+                self._act(fault.start, "relay", "kill", relay)
+                self._act(fault.start + fault.length, "relay", "start", relay)
+
+    # -- ways between relays -----------------------------------------------------------------------
+
+    def _ways(
+        self, fault: Fault, what: str, size: float, inside: list[int] | None, out: bool, back: bool
+    ) -> None:
+        """On the ways from those inside to the rest, from the rest to them, or on all."""
+        for one in range(self.relays):
+            for other in range(self.relays):
+                leaves = inside is None or (one in inside and other not in inside and out)
+                comes = inside is not None and one not in inside and other in inside and back
+                if one == other or not (leaves or comes):
+                    continue
+                for start, end in self._spans(fault):
+                    self._act(start, "lane", what, one, size, other)
+                    self._act(end, "lane", what, one, 0.0, other)
+
+    def _peers_cut(self, fault: Fault) -> None:
+        self._ways(fault, "cut", 1.0, self._relays(fault.share), True, True)
+
+    def _peers_one_way(self, fault: Fault) -> None:
+        self._ways(fault, "cut", 1.0, self._relays(fault.share), True, False)
+
+    def _peers_deaf(self, fault: Fault) -> None:
+        self._ways(fault, "cut", 1.0, self._relays(fault.share), False, True)
+
+    def _peers_loss(self, fault: Fault) -> None:
+        self._ways(fault, "loss", self._size(fault), None, True, True)
+
+    def _peers_delay(self, fault: Fault) -> None:
+        self._ways(fault, "delay", self._size(fault), None, True, True)
+
+    def _peers_twice(self, fault: Fault) -> None:
+        self._ways(fault, "twice", self._size(fault), None, True, True)
+
+    # -- ways to boxes and to discovery ------------------------------------------------------------
+
+    def _straight(
+        self, fault: Fault, what: str, size: float, directions: tuple[str, ...] = ("out", "back")
+    ) -> None:
+        boxes = [-1]
+        if fault.to == "boxes":
+            count = max(1, round(fault.reach * len(self.first)))
+            boxes = sorted(self.chance.sample(self.first, min(len(self.first), count)))
+        for relay in self._relays(fault.share):
+            for box in boxes:
+                for start, end in self._spans(fault):
+                    for direction in directions:
+                        self._act(start, "way", f"{direction}.{what}", box, size, relay)
+                        self._act(end, "way", f"{direction}.{what}", box, 0.0, relay)
+
+    def _way_cut(self, fault: Fault) -> None:
+        self._straight(fault, "cut", 1.0)
+
+    def _way_one_way(self, fault: Fault) -> None:
+        """What the relay sends arrives, and no answer comes back."""
+        self._straight(fault, "cut", 1.0, ("back",))
+
+    def _way_delay(self, fault: Fault) -> None:
+        self._straight(fault, "delay", float(ns(self._size(fault))))
+
+    def _way_rate(self, fault: Fault) -> None:
+        """Bytes a second, for each connection."""
+        self._straight(fault, "rate", self._size(fault))
+
+    def _way_stall(self, fault: Fault) -> None:
+        """Half a line comes, and then nothing."""
+        self._straight(fault, "stall", 1.0, ("back",))
+
+    def _way_unread(self, fault: Fault) -> None:
+        self._straight(fault, "unread", 1.0, ("out",))
+
     def _roll(self, fault: Fault) -> None:
         """All relays are stopped as planned and started again, one after the other."""
         for relay in range(self.relays):
--- a/cedarledge/rig/variants.py
+++ b/cedarledge/rig/variants.py
@@ -19,6 +19,8 @@
     command: list[str]
     cwd: str | None = None
     env: dict[str, str] = {}
+    # A scenario's own operator file; not where another file goes before it.
+    takes_file: bool = False
 
 
 def variant_of(
@@ -39,4 +41,4 @@
     if operator_file is not None:
         command += ["relay", "--file", str(Path(operator_file).resolve())]
         name = Path(operator_file).stem
-    return Variant(name, command, cwd, env)
+    return Variant(name, command, cwd, env, takes_file=operator_file is None)
--- /dev/null
+++ b/cedarledge/standins/acquaintance.py
@@ -0,0 +1,132 @@
+"""What relays held of each other, against what the schedule did to them."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Mapping
+from typing import Any
+
+from cedarledge.standins.books import Carried, Life, Seen
+from cedarledge.standins.plan import Plan
+from cedarledge.terms import SECOND
+
+# Only a spell this long without a fault says anything of views that should be whole.
+QUIET = 10 * SECOND
+# A process that has just begun, or gone on, is owed this much before its view is looked at.
+BEGINS = 3 * SECOND
+Spans = Mapping[int, list[tuple[int, int]]]
+
+
+def still(plan: Plan) -> Spans:
+    """When the schedule had each relay's process stopped."""
+    spans: dict[int, list[tuple[int, int]]] = defaultdict(list)
+    since: dict[int, int] = {}
+    for act in plan.acts:
+        if act.who == "relay" and act.what == "pause":
+            since.setdefault(act.which, act.at)
+        elif act.who == "relay" and act.what == "resume" and act.which in since:
+            spans[act.which].append((since.pop(act.which), act.at))
+    for relay, at in since.items():
+        spans[relay].append((at, int(plan.seconds * SECOND)))
+    return spans
+
+
+def _p50(values: list[float]) -> float | None:
+    return sorted(values)[len(values) // 2] if values else None
+
+
+def peers_figures(plan: Plan, kinds: Mapping[type, list[Any]]) -> dict[str, Any]:
+    """`views`: different ones at the end among live relays. `dead_but_reachable`, `missed_dead`: members
+    held dead that live, and alive that are gone, summed over the views at the end; None without a quiet
+    spell of 10 s before it. `detect_s`: from a kill or a stop to each other relay's holding it dead.
+    `agree_s`: from the last fault's end to the time from which on all views were one and true.
+    `bytes_per_s`: sent by one relay."""
+    end = int(plan.seconds * SECOND)
+    lives: list[Life] = kinds[Life]
+    pauses = still(plan)
+
+    def up(relay: int, at: int) -> bool:
+        """Its process ran, and had for a while."""
+        return any(
+            life.relay == relay and life.ready is not None and life.ready + BEGINS <= at <= life.ended
+            for life in lives
+        ) and not any(since <= at <= until + BEGINS for since, until in pauses[relay])
+
+    def gone(relay: int, since: int, at: int) -> bool:
+        """It ran at no time from then to there."""
+        return not any(life.relay == relay and life.began <= at and life.ended >= since for life in lives)
+
+    looks: dict[int, list[Seen]] = defaultdict(list)
+    for seen in sorted(kinds[Seen], key=lambda seen: seen.at):
+        looks[seen.relay].append(seen)
+    acts = [act.at for act in plan.acts if act.who in ("relay", "lane") and act.at < end]
+    acts += [life.ended for life in lives if life.how == "crashed" and life.ended < end]
+    last_fault = max(acts, default=0)
+    last = {
+        relay: seen[-1]
+        for relay, seen in looks.items()
+        if seen[-1].at > end - SECOND and up(relay, seen[-1].at)
+    }
+    dead_but_reachable = missed = None
+    if end - last_fault >= QUIET:
+        dead_but_reachable = sum(
+            seen.view.get(other) in (None, "dead", "left") for seen in last.values() for other in last
+        )
+        missed = sum(
+            state in ("alive", "suspect") and gone(other, end - QUIET, end)
+            for seen in last.values()
+            for other, state in seen.view.items()
+        )
+    return {
+        "views": len({tuple(sorted(_there(seen))) for seen in last.values()}),
+        "dead_but_reachable": dead_but_reachable,
+        "missed_dead": missed,
+        "detect_s": _detection(lives, pauses, looks, up),
+        "agree_s": _agreement(looks, last_fault, up),
+        "bytes_per_s": _sent(kinds[Carried], lives),
+    }
+
+
+def _there(seen: Seen) -> list[int]:
+    return [relay for relay, state in seen.view.items() if state in ("alive", "self", "suspect")]
+
+
+def _detection(
+    lives: list[Life], pauses: Spans, looks: Mapping[int, list[Seen]], up: Any
+) -> dict[str, float | None]:
+    began = [(life.relay, life.ended) for life in lives if life.how == "killed"]
+    began += [(relay, since) for relay, spans in pauses.items() for since, _ in spans]
+    spans = []
+    for relay, at in began:
+        # Until it is there again there is something to detect.
+        back = min(
+            [life.began for life in lives if life.relay == relay and life.began > at]
+            + [until for since, until in pauses[relay] if since == at],
+            default=1 << 62,
+        )
+        for other, seen in looks.items():
+            first = next((one.at for one in seen if one.at > at and one.view.get(relay) == "dead"), None)
+            if other != relay and first is not None and first < back and up(other, first):
+                spans.append((first - at) / SECOND)
+    return {"p50": _p50(spans), "max": max(spans, default=None)}
+
+
+def _agreement(looks: Mapping[int, list[Seen]], since: int, up: Any) -> float | None:
+    """None: never."""
+    wrong = since
+    right = None
+    for seen in sorted(
+        (one for row in looks.values() for one in row if one.at > since), key=lambda one: one.at
+    ):
+        # A relay that has only just begun is neither missed nor asked.
+        true = {relay for relay in looks if up(relay, seen.at)}
+        if up(seen.relay, seen.at) and true - set(_there(seen)):
+            wrong, right = seen.at, None
+        elif right is None:
+            right = seen.at
+    return None if right is None else max(0, wrong - since) / SECOND
+
+
+def _sent(carried: list[Carried], lives: list[Life]) -> float | None:
+    ran = sum(life.ended - max(0, life.began) for life in lives) / SECOND
+    return round(sum(one.size for one in carried) / ran, 1) if ran and carried else None
--- a/cedarledge/standins/books.py
+++ b/cedarledge/standins/books.py
@@ -118,6 +118,22 @@
     peak_kb: int
 
 
+class Carried(msgspec.Struct, tag=True, array_like=True):
+    """What one relay sent to the others, all told."""
+
+    relay: int
+    size: int  # bytes, without headers
+    datagrams: int
+
+
+class Seen(msgspec.Struct, tag=True, array_like=True):
+    """Whom a relay held there to be, by its own word: `self`, or a member's state."""
+
+    at: int
+    relay: int
+    view: dict[int, str]
+
+
 class Late(msgspec.Struct, tag=True, array_like=True):
     """How late a stand-in process itself ran at the worst: past a bound the run counts for nothing."""
 
@@ -126,7 +142,7 @@
     at: int
 
 
-Record = Setup | Call | Told | Fell | Alien | Rude | Second | BoxSecond | Life | Late
+Record = Setup | Call | Told | Fell | Alien | Rude | Second | BoxSecond | Life | Carried | Seen | Late
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
 _LENGTH = struct.Struct("<I")
