The rig breaks ways between processes, stops them, loses zones, and asks relays whom they know

Cause: the rig could kill relays and make boxes bad, and break no way between two processes. The judge excuses what a stopped process or a held up way makes impossible, and nothing else; each excuse has its test. Found in the judge on the way: what came by a broken way to discovery was taken for heard too late, also where it was not.

--- a/cedarledge/rig/looks.py
+++ b/cedarledge/rig/looks.py
@@ -25,6 +25,8 @@
         self.run = run
         self.fleet = fleet
         self.names = {f"n{relay}": relay for relay in range(run.plan.relays)}
+        # A relay is known by its address: two may have one name.
+        self.relays = {peer_address(relay): relay for relay in range(run.plan.relays)}
         self.held: dict[int, dict[str, str]] = {}  # by relay, the parts of the view that is being told
 
     def open(self) -> None:
@@ -47,7 +49,7 @@
             part = decode_view(data)
         except msgspec.MsgspecError:
             return
-        relay = self.names[part.name]
+        relay = self.relays[addr[0]]
         held = self.held.setdefault(relay, {})
         if part.first != len(held):
             return
--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -40,12 +40,14 @@
     "pause",
     "die_again",
     "zone_lost",
+    "double",
     "peers_cut",
     "peers_one_way",
     "peers_deaf",
     "peers_loss",
     "peers_delay",
     "peers_twice",
+    "peers_rate",
     "way_cut",
     "way_one_way",
     "way_delay",
@@ -134,6 +136,15 @@
     kind: tuple[BoxKind, ...] = (BoxKind("full", 0.67), BoxKind("lite", 0.33, speed=0.6))
 
 
+class Zones(msgspec.Struct, frozen=True):
+    """How far the zones of `box.zones` are from each other. A trip goes there and back."""
+
+    regions: Annotated[int, Meta(ge=1, le=16)] = 1
+    trip_ms: Annotated[float, Meta(ge=0, le=1000)] = 0.0
+    region_trip_ms: Annotated[float, Meta(ge=0, le=1000)] = 0.0
+    home: bool = False  # clients have a home zone
+
+
 class Scenario(msgspec.Struct, frozen=True):
     """One scenario file."""
 
@@ -153,6 +164,7 @@
     profile: Annotated[tuple[Profile, ...], Meta(min_length=1)] = PROFILES
     clients: Clients = Clients()
     box: Boxes = Boxes()
+    zones: Zones = Zones()
     fault: tuple[Fault, ...] = ()
     # The operator file of each relay; where peers are on the rig fills in their addresses.
     operator: OperatorFile = OperatorFile()
@@ -160,6 +172,8 @@
     def __post_init__(self) -> None:
         if self.warm_up >= self.seconds:
             raise ValueError(f"warm_up: {self.warm_up:g} s leave nothing of {self.seconds:g} s")
+        if self.zones.regions > self.box.zones:
+            raise ValueError(f"zones.regions: {self.zones.regions} of {self.box.zones} zones")
         names = [profile.name for profile in self.profile]
         for name in names:
             if names.count(name) > 1:
--- a/cedarledge/standins/clients.py
+++ b/cedarledge/standins/clients.py
@@ -92,10 +92,12 @@
         if relay not in self.stopping:
             self.heard[relay] = self.now()
 
-    def pick(self) -> int:
+    def pick(self, home: str = "") -> int:
+        """One that is there, of the client's own zone while any is."""
         since = self.now() - self.plan.client_terms.front_after
         there = [relay for relay, at in self.heard.items() if at >= max(since, 0)]
-        return self.chance.choice(there or list(self.heard))
+        near = [relay for relay in there if self.plan.zones.of_relay(relay) == home] if home else []
+        return self.chance.choice(near or there or list(self.heard))
 
 
 @implementer(IHalfCloseableProtocol)
@@ -210,6 +212,7 @@
         "counted",
         "crowd",
         "due",
+        "home",
         "key",
         "leaves",
         "link",
@@ -223,6 +226,7 @@
         self.crowd = crowd
         self.profile = profile
         self.key = key
+        self.home = crowd.chance.choice(crowd.plan.zones.names) if crowd.plan.zones.home else ""
         self.leaves = leaves
         self.counted = crowd.now()  # its wishes are accounted for up to here
         self.link: CallLink | None = None
@@ -237,7 +241,7 @@
         crowd = self.crowd
         row = crowd.plan.profiles[self.profile]
         tun = f"{crowd.chance.getrandbits(64):016x}"
-        relay = crowd.front.pick()
+        relay = crowd.front.pick(self.home)
         wait = row.client_timeout
         marks = (",r=1" if self.tries else "") + (",again=1" if again else "")
         line = f"OPEN {tun} {self.key} c={row.name},d={wait // MS},g={self.key}{marks}\r\n"
--- a/cedarledge/standins/plan.py
+++ b/cedarledge/standins/plan.py
@@ -78,6 +78,27 @@
     relay: int = -1
 
 
+class ZoneTerms(msgspec.Struct, frozen=True):
+    """How far zones are from each other; one way, in ns. Relays and boxes are in one each, clients may be."""
+
+    names: tuple[str, ...]
+    regions: int = 1
+    between_zones: int = 0  # of one region
+    between_regions: int = 0
+    home: bool = False  # clients have a zone, and are dealt to its relays while any is there
+
+    def of_relay(self, relay: int) -> str:
+        return self.names[relay % len(self.names)]
+
+    def region(self, zone: str) -> int:
+        return self.names.index(zone) * self.regions // len(self.names)
+
+    def one_way(self, one: str, other: str) -> int:
+        if one == other or not (self.between_zones or self.between_regions):
+            return 0
+        return self.between_zones if self.region(one) == self.region(other) else self.between_regions
+
+
 class ClientTerms(msgspec.Struct, frozen=True):
     """How every client behaves; times in ns."""
 
@@ -112,6 +133,7 @@
     sockets: int
     memory_mb: int
     settings: dict[str, Any]
+    zones: ZoneTerms
     operator: dict[str, Any] = {}  # the relays' operator file, whole; empty: they have none
 
     on_ways: tuple[int, ...] = ()  # relays whose connections pass the ways, as a fault is about those
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -16,12 +16,14 @@
     Book,
     BoxSecond,
     Call,
+    Carried,
     Fell,
     Late,
     Life,
     Record,
     Rude,
     Second,
+    Seen,
     Setup,
     Told,
     read_book,
@@ -187,6 +189,68 @@
     assert broken(*held, acts=(Act(2 * SECOND, "box", "cut", 0, 1.0, 1),)) == {"lines_lost"}
 
 
+def test_a_relay_that_the_schedule_stopped_is_excused_for_that_long_and_no_longer() -> None:
+    late = [call("BUSY", answered=SECOND + 1300 * MS)]
+    acts = (Act(SECOND, "relay", "pause", 0), Act(2 * SECOND, "relay", "resume", 0))
+    assert broken(*late) == {"answered_late"} and broken(*late, acts=acts) == set()
+    assert broken(call("GAVE_UP", answered=-1, began=3 * SECOND), acts=acts) == {"unanswered"}
+    assert broken(call("BUSY", more=1), acts=acts) == {"answered_twice"}
+    other = (Act(SECOND, "relay", "pause", 1), Act(2 * SECOND, "relay", "resume", 1))
+    assert broken(*late, acts=other) == {"answered_late"}
+
+
+def test_a_way_that_is_held_up_excuses_what_its_box_can_not_know_and_nothing_else() -> None:
+    def way(box: int) -> tuple[Act, ...]:
+        return (
+            Act(SECOND // 2, "way", "out.cut", box, 1.0, 0),
+            Act(6 * SECOND, "way", "out.cut", box, 0.0, 0),
+        )
+
+    two = LOST["two setups at once"][1]
+    assert broken(*two, acts=way(0)) == set() and broken(*two, acts=way(1)) == {"overlapping_setups"}
+    assert broken(call(held=1), setup(), acts=way(0)) == set()
+    assert broken(call(held=1), setup(), acts=way(1)) == {"lines_lost"}
+    assert broken(call(), setup(gaps=1), acts=way(0)) == {"lines_lost"}
+    assert broken(*LOST["once-only run twice"][1], acts=way(0)) == {"ran_twice"}
+    assert broken(call("CLOSED"), acts=way(0)) == {"unanswered"}
+    # A drain that was written into a way that carried nothing was not heard; one before it was.
+    drain = LOST["a send to a draining box"][1]
+    assert broken(*drain, acts=way(-1)) == set() and broken(*drain, acts=way(0)) == set()
+    before = [Told(SECOND // 3, 0, 0, "draining", 41), *drain[1:]]
+    assert broken(*before, acts=way(-1)) == {"late_sends_after_drain"}
+
+
+def seen(at: float, relay: int, *there: int, **gone: int) -> Seen:
+    view = {relay: "self"} | dict.fromkeys(there, "alive") | {other: state for state, other in gone.items()}
+    return Seen(int(at * SECOND), relay, view)
+
+
+def test_views_are_held_against_what_was_done_to_the_relays() -> None:
+    acts = (Act(4 * SECOND, "relay", "kill", 2),)
+    peers = {"operator": {"peers": {"on": True}}, "relays": 3, "acts": acts}
+    lives = [Life(relay, -SECOND, 0, 20 * SECOND, "over", 0, 0, 0) for relay in (0, 1)]
+    lives.append(Life(2, -SECOND, 0, 4 * SECOND, "killed", -9, 0, 0))
+    good = [seen(7, 0, 1, dead=2), seen(8, 1, 0, dead=2)]
+    good += [seen(19.5, 0, 1, dead=2), seen(19.5, 1, 0, dead=2)]
+    told = judged(*lives, *good, Carried(0, 4400, 9), **peers).peers
+    assert told == {
+        "views": 1,
+        "dead_but_reachable": 0,
+        "missed_dead": 0,
+        "detect_s": {"p50": 4.0, "max": 4.0},
+        "agree_s": 0.0,
+        "bytes_per_s": 100.0,
+    }
+    wrong = [*good[:2], seen(19.5, 0, dead=1), seen(19.5, 1, 0, 2)]
+    told = judged(*lives, *wrong, **peers).peers
+    names = ("views", "dead_but_reachable", "missed_dead", "agree_s")
+    assert [told[name] for name in names] == [2, 1, 1, None]
+    silent = judged(*lives, *good[:3], **peers).peers
+    assert silent["dead_but_reachable"] == 1, "a live one that shows no view"
+    late = Act(15 * SECOND, "lane", "cut", 0, 0.0, 1)
+    assert judged(*lives, *wrong, **peers | {"acts": (late,)}).peers["dead_but_reachable"] is None
+
+
 def test_figures_are_sums_over_all_processes() -> None:
     verdict = judged(
         call(),
