Voters that take one value for each number, tried in the model; nothing uses them yet

Cause: relays that fail over together need plans of which no two have one number. Change: a register of named voters (cedarledge/failover/votes.py) without I/O or clock; one that has forgotten keeps out of what it may have voted on, and all begin anew past it where too few remember. cedarledge model votes; every order of a few moves of three voters and two proposers, with a crash. Found on the way: asking where the others are stopped once a plan was heard; voters that forget in turn kept out of the open number for ever.

--- a/cedarledge/model/command.py
+++ b/cedarledge/model/command.py
@@ -16,6 +16,7 @@
 
 from cedarledge.model import explore as exploring
 from cedarledge.model import peers as fleets
+from cedarledge.model import votes as voting
 from cedarledge.model.world import Lane
 from cedarledge.terms import SECOND
 
@@ -137,6 +138,30 @@
         click.echo(f"{case:8} {count} histories held")
 
 
+@model.command()
+@click.option("--voters", type=click.Choice(["3", "5", "7"]), default="3", show_default=True)
+@click.option("--seeds", default="1-100", show_default=True, help="A span like 1-100.")
+@click.option("--depth", type=click.IntRange(0, 12), default=0, show_default=True,
+              help="Play every order of so many moves of three voters too.")
+@_jobs
+def votes(voters: str, seeds: str, depth: int, jobs: int) -> None:
+    """Voters that take one value for each number, under drawn troubles."""
+    agreed = []
+    for row in side_by_side(partial(voting.play, int(voters)), seeds_of(seeds), jobs):
+        if "broken" in row:
+            click.echo(f"seed {row['seed']}: {row['broken']}")
+            sys.exit(BROKEN)
+        agreed.append(row["agree_s"])
+    click.echo("agree_s  " + "  ".join(f"{key} {value:.2f}" for key, value in spread(agreed).items()))
+    click.echo(f"{len(agreed)} seeds held")
+    if depth:
+        states, history = voting.explore(depth)
+        click.echo(f"{states} states to depth {depth}")
+        if history:
+            click.echo("\n".join(history))
+            sys.exit(BROKEN)
+
+
 def _sized(seed: int, size: int) -> dict[str, Any]:
     """A calm spell, a kill, and a fifth of all datagrams lost, in a fleet of that size."""
     kill = fleets.Trouble("kill", fleets.TROUBLE, fleets.TROUBLE + SECOND, (size // 2,))
--- a/tests/test_peers_processes.py
+++ b/tests/test_peers_processes.py
@@ -263,7 +263,8 @@
 
 # -- switched off ----------------------------------------------------------------------------------
 
-NEW = ("cedarledge.peers", "cedarledge.model", "cedarledge.fleet", "cedarledge.operator", "msgspec", "click")
+NEW = tuple(f"cedarledge.{name}" for name in ("peers", "failover", "model", "fleet", "operator"))
+NEW += ("msgspec", "click")
 
 
 @contextmanager
@@ -335,7 +336,7 @@
     shutil.copytree(
         SOURCE / "cedarledge",
         bare / "cedarledge",
-        ignore=shutil.ignore_patterns("peers", "model", "fleet.py", "operator", "__pycache__"),
+        ignore=shutil.ignore_patterns("peers", "failover", "model", "fleet.py", "operator", "__pycache__"),
     )
     figures: dict[str, list[tuple[float, int]]] = {"as it is": [], "bare": []}
     for turn in range(12):
--- /dev/null
+++ b/tests/test_votes.py
@@ -0,0 +1,133 @@
+"""Voters: one value a number, whatever is lost, late, doubled or forgotten."""
+
+from __future__ import annotations
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from pytest import mark, raises
+
+from cedarledge.failover.votes import LARGEST_VALUE, NONE, Kind, Vote, Voter, encode
+from cedarledge.model.votes import Register, explore, play
+from cedarledge.terms import SECOND
+
+
+class Forgetful(Voter):
+    """Votes at once, whatever it may have promised before."""
+
+    def _ask_where(self) -> None:
+        self.floor = max(0, self.floor)
+
+
+class Headstrong(Voter):
+    """Takes its own value where another may have been taken already."""
+
+    def _promise(self, vote: Vote) -> None:
+        super()._promise(msgspec.structs.replace(vote, held=NONE, value=b""))
+
+
+@mark.parametrize("count,seeds", [(3, 60), (5, 25), (7, 8)])
+def test_drawn_troubles_leave_one_value_a_number_and_end_in_agreement(count: int, seeds: int) -> None:
+    rows = [play(count, seed) for seed in range(seeds)]
+    assert not [row for row in rows if "broken" in row]
+    assert sum(row["plans"] for row in rows) > 10 * seeds
+
+
+def test_every_order_of_six_moves_of_three_voters_and_two_proposers() -> None:
+    states, history = explore(6)
+    assert states > 5000 and not history
+
+
+def test_a_broken_voter_is_caught() -> None:
+    broken = [play(3, seed, Forgetful) for seed in range(6)]
+    assert any("number" in row.get("broken", "") for row in broken)
+    states, history = explore(9, crashes=0, kind=Headstrong)
+    assert history and "b'plan of 0'" in history[-1] and len(history) < 11, states
+
+
+def test_two_that_propose_at_once_for_ever_both_get_on() -> None:
+    register = Register(3, 5)
+    register.world.run(3 * SECOND)
+    for _ in range(60):
+        for place in (0, 1):
+            register.propose(place)
+        register.world.run(register.world.now + SECOND)
+    assert len(register.values) > 60
+
+
+def test_without_a_majority_nothing_is_taken_and_then_it_heals() -> None:
+    register = Register(3, 2)
+    register.world.run(3 * SECOND)
+    for place in (0, 1):
+        register.end(place, False)
+    register.propose(2)
+    register.world.run(20 * SECOND)
+    assert not register.values
+    register.start(0)
+    register.world.run(30 * SECOND)
+    assert not register.values, "one that has forgotten is no majority with one that has not"
+    register.start(1)
+    register.world.run(40 * SECOND)
+    assert list(register.values.values()) == [b"plan 1"]
+
+
+def test_one_that_has_forgotten_keeps_out_of_what_it_may_have_voted_on() -> None:
+    register = Register(3, 3)
+    register.world.run(3 * SECOND)
+    register.propose(0)
+    register.world.run(4 * SECOND)
+    register.end(2, False)
+    register.start(2)
+    register.world.run(8 * SECOND)
+    number, voter = register.places[0].voter.number, register.places[2].voter
+    assert voter.number == number and voter.floor == number + 1
+    register.propose(0)
+    register.propose(1)
+    register.world.run(20 * SECOND)
+    assert voter.number >= number + 2 and len(register.values) == 3
+
+
+class Quiet:
+    """A host of one that is spoken to."""
+
+    def __init__(self) -> None:
+        self.sent: list[bytes] = []
+
+    def send(self, place: int, data: bytes) -> None:
+        self.sent.append(data)
+
+    def wake(self, delay: int, token: int) -> None:
+        pass
+
+    def keep(self, memory: bytes) -> None:
+        self.memory = memory
+
+    def held(self, number: int, value: bytes) -> None:
+        pass
+
+
+@settings(max_examples=200)
+@given(st.binary(max_size=200))
+def test_what_is_no_memory_is_none_and_stops_no_start_and_what_is_no_vote_is_counted(data: bytes) -> None:
+    host = Quiet()
+    voter = Voter(host, 0, 3, 1, memory=data)
+    assert voter.floor < 0
+    voter.start()
+    asked = len(host.sent)
+    voter.received(data)
+    assert voter.counts["malformed"] == 1 and len(host.sent) == asked
+
+
+def test_a_voter_with_its_memory_goes_on_where_it_was() -> None:
+    host = Quiet()
+    voter = Voter(host, 0, 3, 1)
+    voter.floor = 0
+    voter.received(encode(Vote(1, Kind.PREPARE, 1, 7, 1, (4, 1))))
+    again = Voter(Quiet(), 0, 3, 2, memory=host.memory)
+    again.received(encode(Vote(1, Kind.PREPARE, 2, 8, 1, (3, 2))))
+    assert (again.promised, again.floor) == ((4, 1), 0)
+    assert Kind(msgspec.msgpack.decode(again.host.sent[-1])[1]) is Kind.REFUSE
+    with raises(ValueError, match="3, 5 or 7"):
+        Voter(host, 0, 4, 1)
+    with raises(ValueError, match=str(LARGEST_VALUE)):
+        voter.propose(b"x" * (LARGEST_VALUE + 1))
