Plans of which zone carries whose traffic, made by voters, tried in the model

Cause: relays that fail over alone fill the next zone in one tick and can't tell a cut from a loss. Found on the way: a zone behind a cut was closed, and its relays sent all away as it healed; a plan that was wanted before a cut was taken after it; a voter that sees a zone well opened it against two that do not.

--- a/cedarledge/failover/votes.py
+++ b/cedarledge/failover/votes.py
@@ -27,7 +27,7 @@
 from cedarledge.terms import MS, SECOND
 
 FORMAT = 1
-LARGEST_VALUE = 900
+LARGEST_VALUE = 520  # two of them go into one datagram
 Ballot = tuple[int, int]  # a round, and the place of the voter who began it; the higher goes first
 NONE: Ballot = (0, -1)
 # A proposer that hears nothing begins again after this, and waits up to twice as long each time. Two that
@@ -63,6 +63,7 @@
     ballot: Ballot = NONE
     held: Ballot = NONE
     value: Value = b""
+    wants: Value = b""  # with PREPARE: what is to have the number, if nothing was taken yet
     top: Annotated[int, Meta(ge=-1, lt=1 << 62)] = -1  # below 0: without memory
     floor: Annotated[int, Meta(ge=-1, lt=1 << 62)] = -1  # votes on what is past it; below 0: on nothing
     base: Number = 0
@@ -93,6 +94,10 @@
     def keep(self, memory: bytes) -> None:
         """Before it returns it lasts; or nothing does, and the next life starts without memory."""
 
+    def agrees(self, value: bytes) -> bool:
+        """Whether this voter would have such a value. Asked before a promise alone: what may have been taken
+        already must be taken again, whoever likes it."""
+
     def held(self, number: int, value: bytes) -> None:
         """This value has this number, for good. Numbers only grow; some may be passed over."""
 
@@ -160,6 +165,14 @@
             self._tries = 0
             self._begin()
 
+    def withdraw(self) -> None:
+        """Nothing is wanted any more. What is under way may still be taken; nothing new is begun."""
+        self._wanted = None
+        if self._ballot == NONE or self._asks:
+            self._ballot = NONE
+            self._due.pop("_begin", None)
+            self._due.pop("_back_off", None)
+
     def woke(self, token: int) -> None:
         for name, due in list(self._due.items()):
             if due == token:
@@ -231,6 +244,8 @@
             self._say(vote.place, Kind.HELD, number=self.number, value=self.plan)
         elif self._may_vote(vote.number):
             if vote.ballot > self.promised:
+                if vote.place != self.place and vote.wants and not self.host.agrees(vote.wants):
+                    return
                 self.promised = vote.ballot
                 self._keep()
                 self._say(
@@ -290,7 +305,13 @@
         self._promises, self._accepts, self._asks = {}, set(), True
         self._tries += 1
         self._propose_in(ANSWERS_WITHIN, "_back_off")
-        self._say_all(Kind.PREPARE, number=self.number + 1, ballot=self._ballot, value=self.plan)
+        self._say_all(
+            Kind.PREPARE,
+            number=self.number + 1,
+            ballot=self._ballot,
+            value=self.plan,
+            wants=self._wanted,
+        )
 
     def _back_off(self) -> None:
         self._ballot = NONE
--- a/cedarledge/model/command.py
+++ b/cedarledge/model/command.py
@@ -17,6 +17,7 @@
 from cedarledge.model import explore as exploring
 from cedarledge.model import peers as fleets
 from cedarledge.model import votes as voting
+from cedarledge.model import zones as zoning
 from cedarledge.model.world import Lane
 from cedarledge.terms import SECOND
 
@@ -141,8 +142,13 @@
 @model.command()
 @click.option("--voters", type=click.Choice(["3", "5", "7"]), default="3", show_default=True)
 @click.option("--seeds", default="1-100", show_default=True, help="A span like 1-100.")
-@click.option("--depth", type=click.IntRange(0, 12), default=0, show_default=True,
-              help="Play every order of so many moves of three voters too.")
+@click.option(
+    "--depth",
+    type=click.IntRange(0, 12),
+    default=0,
+    show_default=True,
+    help="Play every order of so many moves of three voters too.",
+)
 @_jobs
 def votes(voters: str, seeds: str, depth: int, jobs: int) -> None:
     """Voters that take one value for each number, under drawn troubles."""
@@ -162,6 +168,33 @@
             sys.exit(BROKEN)
 
 
+@model.command()
+@click.option("--zones", type=click.IntRange(3, 16), default=3, show_default=True)
+@click.option("--relays", type=click.IntRange(1, 64), default=3, show_default=True, help="In each zone.")
+@click.option("--voters", type=click.Choice(["3", "5", "7"]), default="3", show_default=True)
+@click.option("--seeds", default="1-100", show_default=True, help="A span like 1-100.")
+@_jobs
+def zones(zones: int, relays: int, voters: str, seeds: str, jobs: int) -> None:
+    """Zones that are lost, cut off, slow, or come and go, and the plans that voters make of it."""
+    rows: list[dict[str, Any]] = []
+    for row in side_by_side(partial(zoning.play, zones, relays, int(voters)), seeds_of(seeds), jobs):
+        if "broken" in row:
+            click.echo(f"seed {row['seed']}: {row['broken']}")
+            for line in row["history"]:
+                click.echo(f"  {line}")
+            sys.exit(BROKEN)
+        rows.append(row)
+    for kind in zoning.KINDS:
+        mine = [row for row in rows if row["kinds"] == [kind]]
+        decided = spread([row["decided_s"] for row in mine if row["decided_s"] is not None])
+        told = "  ".join(f"{key} {value:.2f}" for key, value in decided.items())
+        changes = max((row["direction_changes"] for row in mine), default=0)
+        click.echo(
+            f"{kind:12} {len(mine):4} alone  decided_s  {told or 'nothing was':24}  at most {changes} changes"
+        )
+    click.echo(f"{len(rows)} seeds held")
+
+
 def _sized(seed: int, size: int) -> dict[str, Any]:
     """A calm spell, a kill, and a fifth of all datagrams lost, in a fleet of that size."""
     kill = fleets.Trouble("kill", fleets.TROUBLE, fleets.TROUBLE + SECOND, (size // 2,))
--- a/cedarledge/model/votes.py
+++ b/cedarledge/model/votes.py
@@ -46,6 +46,9 @@
     def keep(self, memory: bytes) -> None:
         self.memory = memory
 
+    def agrees(self, value: bytes) -> bool:
+        return self.register.agrees(self.number, value)
+
     def held(self, number: int, value: bytes) -> None:
         self.register.held(self.number, number, value)
 
@@ -85,6 +88,9 @@
             raise BrokenError(f"voter {place} went back from {self.latest[place]} to {number}")
         self.latest[place] = number
 
+    def agrees(self, place: int, value: bytes) -> bool:
+        return True
+
     def propose(self, place: int) -> None:
         self.proposed += 1
         seat = self.places[place]
@@ -209,6 +215,9 @@
     def keep(self, memory: bytes) -> None:
         self.table.kept[self.place] = memory
 
+    def agrees(self, value: bytes) -> bool:
+        return True
+
     def held(self, number: int, value: bytes) -> None:
         if self.table.values.setdefault(number, value) != value:
             raise BrokenError(f"number {number} is {self.table.values[number]!r} and {value!r}")
--- a/tests/test_votes.py
+++ b/tests/test_votes.py
@@ -102,6 +102,9 @@
     def keep(self, memory: bytes) -> None:
         self.memory = memory
 
+    def agrees(self, value: bytes) -> bool:
+        return False
+
     def held(self, number: int, value: bytes) -> None:
         pass
 
