A zone whose relays are not heard is not taken for an idle one

Change: what such a zone's boxes carry beside what the heard ones hold there counts as its own (plans.py, _sizes).

--- a/cedarledge/failover/plans.py
+++ b/cedarledge/failover/plans.py
@@ -87,6 +87,7 @@
     load: float
     unreachable: bool  # from every other zone that looks
     fails_itself: bool  # its own relays say so
+    speaks: bool  # its own relays are heard
     heard: bool  # somebody has a fresh sight of it
 
 
@@ -107,6 +108,7 @@
         median(sight.load for sight in good) if good else 0.0,
         bool(others) and all(others) and not alone,
         failing.get(zone, False),
+        zone in failing,
         bool(by_zone),
     )
 
@@ -324,14 +326,18 @@
             self._each = weighs[(len(weighs) - 1) // 2]
         able = {}
         for zone, one in seen.items():
-            # A little under its number is the noise of reports.
-            by_load = (
-                carries[zone] * self._each / one.load
-                if one.load > 0.05 and carries[zone] >= 10
-                else one.ready
-            )
+            # A little under its number is the noise of reports. Of a zone whose relays are not heard, who
+            # carries what is not known.
+            known = one.speaks and one.load > 0.05 and carries[zone] >= 10
+            by_load = carries[zone] * self._each / one.load if known else one.ready
             able[zone] = one.ready if by_load > 0.75 * one.ready else by_load
-        return {zone: tunnels[zone] * self._each for zone in self.regions}, able
+        demand = {}
+        for zone, one in seen.items():
+            # Relays that nobody hears may serve behind a cut: what boxes there carry beside the others' is
+            # theirs.
+            theirs = 0.0 if one.speaks else one.load * one.ready - carries[zone] * self._each
+            demand[zone] = max(theirs, tunnels[zone] * self._each)
+        return demand, able
 
     def _mine(self, row: ZonePlan) -> int:
         return row.shares[list(self.regions).index(row.zone)]
--- a/cedarledge/model/zones.py
+++ b/cedarledge/model/zones.py
@@ -239,7 +239,7 @@
                     row.state in (State.CLOSED, State.LIMITED)
                 )
                 if self.decided is None and row.state is not State.OPEN:
-                    self.decided = (self.world.now - self.troubles[0].start) / SECOND
+                    self.decided = (self.world.now - min(row.start for row in self.troubles)) / SECOND
         self.planners[voter].holds(self.world.now, plan)
         for zone in self.names:
             if self.speaks(self.zone_of(voter), zone):
--- a/tests/test_plans.py
+++ b/tests/test_plans.py
@@ -77,6 +77,13 @@
     assert plan.share("a", "b") == plan.share("c", "b") == 0
 
 
+def test_a_zone_whose_relays_are_not_heard_is_not_taken_for_an_idle_one() -> None:
+    """Found by seed 27 of four zones: others' traffic was planned onto boxes that were full."""
+    plan = planned(tellers(failing={"a": ("c",), "c": ("c",)}, silent=("b",)))
+    assert plan.state("b") is State.OPEN and plan.state("c") is State.CLOSED
+    assert plan.share("c", "a") == plan.share("c", "b") == 50
+
+
 def test_one_relay_alone_closes_nothing_and_one_cut_off_plans_nothing() -> None:
     told = tellers()
     told[0] = Teller("a", 100, {zone: Sight(0, 9.9, 1.0, 0, 0) for zone in REGIONS})
