What relays tell of themselves rides on probes alone

Cause: sixteen relays with peers on took 1.7% of a core each more than without, and placed 4.4 ms later at the 99th percentile (four cores for all, five pairs): news of records kept a timer going that sends two datagrams five times a second. Change: that timer runs for news of who is there; records go on probes.

--- a/cedarledge/peers/machine.py
+++ b/cedarledge/peers/machine.py
@@ -514,14 +514,14 @@
             self._after(SPREAD_EVERY // 4, self._spread_news)
 
     def _spread_record(self, name: str) -> None:
-        """What somebody tells of himself: behind news of who is there, and half as often, since it is told
-        anew all the time. Of a thousand members the records alone would fill all messages."""
-        if name not in self._news:
-            self._spread(name)
-            self._news[name] = self._most_tellings() // 2
+        """What somebody tells of himself: behind news of who is there, half as often, and on probes alone,
+        since it is told anew all the time. Of a thousand members the records alone would fill all
+        messages."""
+        self._news.setdefault(name, self._most_tellings() // 2)
 
     def _spread_news(self) -> None:
-        self._spreads = bool(self._news)
+        # What is told for the first times; the rest rides on probes.
+        self._spreads = any(told < self._most_tellings() // 2 for told in self._news.values())
         if not self._spreads:
             return
         others = self._some(SPREAD_TO)
