No datagram hangs an exchange, grows a member without end, or costs the socket

A member whose news was larger than the room left in a datagram would have kept an exchange in its loop; fields of ever new names added up without a bound; values nested a thousand deep raised RecursionError, which is no decoding error, and a fault in the reader would have had the reactor drop the socket. Change: names are plain characters, so that their length is their size; a record is bounded where it is merged; both errors count as malformed; a fault costs one datagram. Measured: the test fails without it, at the first bound that it looks at.

--- a/cedarledge/failover/votes.py
+++ b/cedarledge/failover/votes.py
@@ -182,7 +182,7 @@
     def received(self, data: bytes) -> None:
         try:
             vote = decode(data)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, RecursionError):
             self.counts["malformed"] += 1
             return
         if vote.place < self.count and vote.place != self.place:
--- a/cedarledge/fleet.py
+++ b/cedarledge/fleet.py
@@ -5,18 +5,19 @@
 
 import json
 import os
+import re
 from hashlib import blake2b
 from typing import Any
 
 from loguru import logger
 
 from cedarledge import __version__
-from cedarledge.net.config import StartingOrders
+from cedarledge.net.config import BadConfigError, StartingOrders
 from cedarledge.net.relay import Relay
 from cedarledge.net.seams import Hearer
 from cedarledge.operator.file import OperatorFile, PeersTable
 from cedarledge.peers.machine import Pace, Peers
-from cedarledge.peers.messages import Value
+from cedarledge.peers.messages import PLAIN, Value
 from cedarledge.peers.shell import Shell
 from cedarledge.terms import MS, SECOND
 
@@ -57,9 +58,13 @@
 
 
 def join_peers(relay: Relay, orders: StartingOrders, table: PeersTable) -> Peers:
+    if not re.fullmatch(PLAIN, orders.name) or not 0 < len(orders.name) <= 64:
+        raise BadConfigError(
+            f"peers are on, and the relay's name is not 1 to 64 plain characters: {orders.name!r}"
+        )
     newcomers = Newcomers()
     relay.listens(newcomers)
-    zone = str(orders.settings.get("zone") or "")[:64]
+    zone = str(orders.settings.get("zone") or "").encode("ascii", "replace").decode()[:64]
     digest = digest_of(orders.settings)
 
     def tells() -> dict[str, Value]:
--- a/cedarledge/operator/file.py
+++ b/cedarledge/operator/file.py
@@ -56,11 +56,11 @@
     """Relays that know each other. Takes effect at the start alone."""
 
     on: bool = False
-    fleet: Annotated[str, Meta(max_length=64)] = ""  # who has another one is no peer
+    fleet: Annotated[str, Meta(max_length=64, pattern="^[ -~]*$")] = ""  # who has another one is no peer
     listen: Annotated[str, Meta(max_length=21)] = ""  # UDP; loopback or private, as there is no sign-in
     told: Annotated[str, Meta(max_length=21)] = ""  # where others find it, if not at `listen`
     seeds: Annotated[tuple[Annotated[str, Meta(max_length=21)], ...], Meta(max_length=64)] = ()
-    region: Annotated[str, Meta(max_length=64)] = ""
+    region: Annotated[str, Meta(max_length=64, pattern="^[ -~]*$")] = ""
     probe_every_ms: Annotated[int, Meta(ge=100, le=10_000)] = 500
 
     def __post_init__(self) -> None:
--- a/cedarledge/peers/machine.py
+++ b/cedarledge/peers/machine.py
@@ -166,7 +166,6 @@
         self._favours: dict[int, tuple[str, int]] = {}  # pings made for others: who asked, and their number
         self._exchanged = -EXCHANGE_GAP
         self._spreads = False
-        self._told_at = 0
         self._waits: dict[int, tuple[int, Callable[..., None], tuple[Any, ...]]] = {}
         self._tokens = 0
         self._late = False
@@ -202,7 +201,7 @@
             near(message.address)
             for news in message.news:
                 near(news.address)
-        except ValueError:
+        except (ValueError, RecursionError):
             self.counts[self._why_unread(data)] += 1
             return
         if message.fleet != self.fleet:
@@ -370,7 +369,7 @@
         """Cheap enough for a flood: what is not of this fleet or format need not make sense otherwise."""
         try:
             head = decode_head(data)
-        except ValueError:
+        except (ValueError, RecursionError):
             return "malformed"
         return "foreign" if head.fleet != self.fleet else "old" if head.format < OLDEST else "malformed"
 
@@ -583,7 +582,12 @@
             known = member.told.get(name)
             if known is None or newer(count, known[0]):
                 # The dict may be a message's, or shared with one.
-                member.told = member.told | {name: (count, value)}
+                told = member.told | {name: (count, value)}
+                if len(encode(told)) > LARGEST_RECORD:
+                    # Ever new names from one teller: news of it would fit into no datagram in the end.
+                    self.counts["too_many"] += 1
+                    continue
+                member.told = told
                 member.raw = None
                 found = True
         return found
--- a/cedarledge/peers/messages.py
+++ b/cedarledge/peers/messages.py
@@ -23,7 +23,9 @@
 # What a relay may tell of itself, all fields together, encoded.
 LARGEST_RECORD = 480
 
-Name = Annotated[str, Meta(min_length=1, max_length=64)]
+# Plain characters of one byte each: a name's length is its size in a datagram.
+PLAIN = "^[ -~]*$"
+Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=PLAIN)]
 Address = Annotated[str, Meta(max_length=21)]  # dotted IPv4 and a port
 Count = Annotated[int, Meta(ge=0, lt=WRAP)]
 FieldName = Annotated[str, Meta(min_length=1, max_length=24)]
@@ -60,7 +62,7 @@
     life: Annotated[int, Meta(ge=0, lt=1 << 62)]  # drawn at the start of its process
     incarnation: Count
     state: State
-    by: Annotated[str, Meta(max_length=64)] = ""  # who suspects it
+    by: Annotated[str, Meta(max_length=64, pattern=PLAIN)] = ""  # who suspects it
     told: Told = {}
 
 
@@ -75,7 +77,7 @@
     life: Annotated[int, Meta(ge=0, lt=1 << 62)]
     incarnation: Count
     number: Count = 0
-    target: Annotated[str, Meta(max_length=64)] = ""
+    target: Annotated[str, Meta(max_length=64, pattern=PLAIN)] = ""
     at: Address = ""
     digest: Annotated[int, Meta(ge=0, lt=1 << 62)] = 0
     news: Annotated[list[News], Meta(max_length=64)] = []
--- a/cedarledge/peers/shell.py
+++ b/cedarledge/peers/shell.py
@@ -123,7 +123,11 @@
             except OSError:
                 # Linux tells here that a datagram sent before found nobody: the machine's probes tell better.
                 continue
-            self.machine.received(self.timers.now(), data)
+            try:
+                self.machine.received(self.timers.now(), data)
+            except Exception:
+                # A fault costs one datagram. Left to the reactor it would cost the socket.
+                logger.exception("peers: a datagram of {} bytes could not be taken in", len(data))
             if self._socket is None:
                 return
         self.reactor.removeReader(self)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -14,6 +14,7 @@
 from cedarledge.peers.messages import (
     FORMAT,
     LARGEST,
+    LARGEST_RECORD,
     WRAP,
     Kind,
     Message,
@@ -140,6 +141,25 @@
     assert list(peers.told) == ["zone"]
 
 
+def test_a_teller_of_ever_new_fields_and_long_names_neither_grows_nor_hangs_an_exchange() -> None:
+    host, peers = one()
+    name = "n" * 64
+    for turn in range(200):
+        told = {f"field-{turn}-{place}": (turn, "ä" * 64) for place in range(4)}
+        peers.received(
+            1, said(Kind.NEWS, "b", News(name, OTHER, 9, 0, State.SUSPECT, by="x" * 64, told=told))
+        )
+    assert len(encode(peers.members[name].told)) <= LARGEST_RECORD and peers.counts["too_many"] > 100
+    host.sent.clear()
+    peers.received(1 + SECOND, said(Kind.SYNC, "f" * 64, digest=1))
+    assert any(news.name == name for _, message in host.sent for news in message.news)
+    good = msgspec.msgpack.decode(said(Kind.PING, target="a"))
+    peers.received(1, encode([*good[:3], "ä", *good[4:]]))
+    nested = encode(good)
+    peers.received(1, bytes([nested[0] + 1]) + nested[1:] + b"\x91" * 1000 + b"\x90")
+    assert peers.counts["malformed"] == 2
+
+
 def test_memory_is_bounded_whoever_sends() -> None:
     host, peers = one()
     for number in range(MOST_MEMBERS + 50):
