--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -51,6 +51,7 @@
     "way_cut",
     "way_one_way",
     "way_delay",
+    "way_loss",
     "way_rate",
     "way_stall",
     "way_unread",
--- a/cedarledge/rig/schedule.py
+++ b/cedarledge/rig/schedule.py
@@ -478,8 +478,12 @@
         self._straight(fault, "cut", 1.0, ("back",))
 
     def _way_delay(self, fault: Fault) -> None:
+        """Late by that much, and by up to half of it more from one piece to the next."""
         self._straight(fault, "delay", float(ns(self._size(fault))))
 
+    def _way_loss(self, fault: Fault) -> None:
+        self._straight(fault, "loss", self._size(fault))
+
     def _way_rate(self, fault: Fault) -> None:
         """Bytes a second, for each connection."""
         self._straight(fault, "rate", self._size(fault))
--- a/cedarledge/standins/ways.py
+++ b/cedarledge/standins/ways.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import random
 from collections import deque
 from typing import Any
 
@@ -26,9 +27,11 @@
     discovery_way_address,
 )
 from cedarledge.standins.stage import Player, Stage
-from cedarledge.terms import SECOND
+from cedarledge.terms import MS, SECOND
 
 OUT, BACK = "out", "back"
+# As long as a system waits before it sends again what was lost.
+SENT_AGAIN = 200 * MS
 
 
 class Way(msgspec.Struct):
@@ -36,6 +39,8 @@
 
     cut: bool = False
     delay: int = 0
+    jitter: int = 0
+    loss: float = 0.0  # of what is written at once; it comes again, and holds up what is behind it
     far: int = 0  # between zones
     rate: int = 0  # bytes a second; 0: as they come
     stall: bool = False  # the next line's first half still passes, then nothing
@@ -57,7 +62,11 @@
         self.stalled = self.armed = False
 
     def push(self, data: bytes | None) -> None:
-        self.queue.append((self.ways.now() + self.way.far + self.way.delay, data))
+        way, chance = self.way, self.ways.chance
+        delay = way.far + way.delay + (chance.randrange(way.jitter) if way.jitter else 0)
+        if way.loss and chance.random() < way.loss:
+            delay += SENT_AGAIN
+        self.queue.append((self.ways.now() + delay, data))
         self.pump()
 
     def changed(self) -> None:
@@ -198,6 +207,7 @@
 
     def __init__(self, stage: Stage) -> None:
         super().__init__(stage)
+        self.chance = random.Random(self.plan.seed * 103 + 9)
         self.flows: list[Flow] = []
         boxes = [*range(len(self.plan.boxes)), LIST]
         self.ways = {
@@ -228,7 +238,10 @@
     def _played(self, act: Act) -> None:
         to, _, what = act.what.partition(".")
         way = self.ways[act.relay, act.which, to]
-        setattr(way, what, int(act.size) if what in ("delay", "rate") else bool(act.size))
+        if what == "delay":
+            way.jitter = int(act.size) // 2
+        # The field says what it is: a flag, a share, or ns or bytes.
+        setattr(way, what, type(getattr(way, what))(act.size))
         for flow in self.flows:
             if flow.way is way:
                 flow.changed()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -160,6 +160,28 @@
     assert peers.counts["malformed"] == 2
 
 
+def test_news_of_a_death_goes_before_what_members_tell_of_themselves() -> None:
+    host, peers = one()
+    for number in range(100):
+        peers.received(1, said(Kind.NEWS, "b", News(f"c{number}", f"10.0.1.{number}:7", 1, 0, State.ALIVE)))
+    while peers._news:
+        peers.received(1, said(Kind.PING, target="a"))
+    for number in range(100):
+        told = {"tunnels": (1, number)}
+        peers.received(
+            1, said(Kind.NEWS, "b", News(f"c{number}", f"10.0.1.{number}:7", 1, 0, State.ALIVE, told=told))
+        )
+    peers.received(1, said(Kind.NEWS, "b", News("c5", "10.0.1.5:7", 1, 0, State.DEAD)))
+    peers.received(1, said(Kind.PING, target="a"))
+    first = host.sent[-1][1].news[0]
+    assert (first.name, first.state) == ("c5", State.DEAD)
+    sent = len(host.sent)
+    while peers._news:
+        peers.received(1, said(Kind.PING, target="a"))
+    tellings = [news.name for _, message in host.sent[sent:] for news in message.news]
+    assert 0 < tellings.count("c9") <= peers._most_tellings() // 2, "half as often"
+
+
 def test_memory_is_bounded_whoever_sends() -> None:
     host, peers = one()
     for number in range(MOST_MEMBERS + 50):
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -7,6 +7,7 @@
 import sys
 from itertools import pairwise
 from pathlib import Path
+from random import Random
 from types import SimpleNamespace
 
 from loguru import logger
@@ -36,7 +37,9 @@
 
     def __init__(self, **way: object) -> None:
         self.clock, deadlines = timers()
-        ways = SimpleNamespace(now=deadlines.now, deadlines=deadlines, ended=lambda _end: None)
+        ways = SimpleNamespace(
+            now=deadlines.now, deadlines=deadlines, ended=lambda _end: None, chance=Random(1)
+        )
         self.way = Way(**way)
         self.source, self.sink = End(), End()
         self.source.transport, self.sink.transport = StringTransport(), StringTransport()
@@ -78,6 +81,15 @@
     assert pipe.got() == b"STATS 1 2 3\r\n"
 
 
+def test_what_is_lost_comes_again_and_holds_up_what_is_behind_it() -> None:
+    pipe = Pipe(loss=0.3, jitter=50 * MS)
+    for number in range(20):
+        pipe.source.dataReceived(b"%d " % number)
+    early = pipe.got(0.1)
+    assert 0 < len(early.split()) < 20
+    assert pipe.got(0.3) == b"".join(b"%d " % number for number in range(20))
+
+
 def test_what_is_not_read_stays_with_its_sender() -> None:
     pipe = Pipe()
     pipe.change(unread=True)
