The model's command has a test: figures, a seed with its history, an unknown fault

Cause: what the command prints where something broke was looked at by hand alone. Change: one test. Measured: it passes; with a machine that never refutes the command exits with 1 and tells the seed and the trouble.

--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import msgspec
+from click.testing import CliRunner
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from pytest import mark, raises
 
+from cedarledge.model.command import model
 from cedarledge.model.explore import CASES, explore, histories
 from cedarledge.model.peers import FAULTS, TROUBLE, BrokenError, Fleet, Trouble, play, shortest
 from cedarledge.model.world import Lane
@@ -259,3 +261,21 @@
     fleet.world.run(TROUBLE + 2 * SECOND)
     member = accuser.members[accused.name]
     assert (member.state, member.incarnation) == (State.ALIVE, 1)
+
+
+def test_the_command_writes_figures_and_where_something_broke_the_seed_and_a_history(
+    monkeypatch, tmp_path
+) -> None:
+    arguments = ["peers", "--members", "4", "--seeds", "1-3", "--faults", "halves", "--jobs", "1"]
+    out = tmp_path / "out.json"
+    done = CliRunner().invoke(model, [*arguments, "--json", str(out)])
+    told = msgspec.json.decode(out.read_bytes())
+    assert (
+        done.exit_code == 0 and (told["seeds"], told["broken"]) == (3, 0) and told["bytes_per_s"]["p50"] > 0
+    )
+    monkeypatch.setattr(Peers, "_hear_of_me", lambda *_: None)
+    done = CliRunner().invoke(model, arguments)
+    assert done.exit_code == 1 and "seed 1: " in done.output and "  halves from " in done.output
+    assert "BROKEN" in done.output
+    done = CliRunner().invoke(model, ["peers", "--faults", "halvs"])
+    assert done.exit_code == 2 and "known are kill, restart" in done.output
