--- a/cedarledge/peers/machine.py
+++ b/cedarledge/peers/machine.py
@@ -253,7 +253,7 @@
         if self.left or self.silent:
             self.left = True
             return
-        word = encode(News(self.name, self.address, self.life, self.incarnation, State.LEFT))
+        word = encode(self.news(State.LEFT))
         for member in self._some(8):
             self._send(member.address, Kind.NEWS, first=[word])
         self.left = True
@@ -498,11 +498,13 @@
             )
         return member.raw
 
+    def news(self, state: State = State.ALIVE) -> News:
+        """Its word of itself."""
+        return News(self.name, self.address, self.life, self.incarnation, state, "", self.told)
+
     def _raw_own(self) -> bytes:
         if self._own is None:
-            self._own = encode(
-                News(self.name, self.address, self.life, self.incarnation, State.ALIVE, "", self.told)
-            )
+            self._own = encode(self.news())
         return self._own
 
     # -- news --------------------------------------------------------------------------------------
