A silent watch is opened anew at once; a pushed list is asked for again within 0.1 s

Relay's log: 'discovery: ' (the call's own limit) at 11.74 s, nothing about the list until 2 to 6 s later. Ruled out: the module (it had no word of the drain), discovery (answers new calls). At fault: Watch waited 10 s a call and 1 s more, then _lost told the module, whose wake is 2 to 6 s away: silence was treated as a discovery in trouble. What a silent watch misses counts as told after 6 s, or 2 s past the wait. Mechanism changed: waits of 2 to 4 s (by chance, so that a fleet's calls spread), one new call at once after silence, a limit of 2 s to connect. Where lists are pushed a lost call is made again after 0.1 s: what the agent has counts as told at once. The call's limit reads first: a drain that lay unread in a paused process was thrown away. No try comes later than the settings allow for asking, by the module's first wait.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -222,7 +222,7 @@
         self.stop_by = 0
         self.looking: dict[int, int] = {}  # tunnels that wait for a look, and at which member
         self.next_log = facts.now + LOG_EVERY
-        self.list_waits = LIST_AGAIN
+        self.list_waits = 0
         self.by_rule = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}
         if facts.must_ask:
             host.wake(int(self.chance() * min(LIST_AGAIN, LIST_TURN * facts.relays)), LIST_TOKEN)
@@ -233,11 +233,12 @@
     def list_changed(self, now: int, form: ListForm, entries: list[Listed]) -> None:
         if form is ListForm.UNAVAILABLE:
             # Every relay loses the list together: jitter, so that they don't all ask again together.
+            self.list_waits = min(2 * self.list_waits or LIST_AGAIN,
+                                  max(SECOND, self.facts.ask_every or 2 * LIST_AGAIN))
             self.host.wake(int(self.list_waits * (0.5 + self.chance())), LIST_TOKEN)
-            self.list_waits = min(self.list_waits * 2, max(SECOND, self.facts.ask_every or 2 * LIST_AGAIN))
             return
         if form is not ListForm.RESTORED:
-            self.list_waits = LIST_AGAIN
+            self.list_waits = 0
         if form is not ListForm.CHANGES:
             named = {entry.ep for entry in entries}
             for member in self.members.values():
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -21,10 +21,17 @@
 PATH = "/discovery/hosts"
 # No list comes near these; an answer past them is not read on.
 LONGEST_HEAD, LONGEST_BODY = 16 << 10, 8 << 20
-LONGEST_WAIT = 60 * SECOND
+# What a silent watch misses counts as told 6 s after it fell silent, or 2 s past the wait of its call if that
+# is later. With waits no longer than this it is the 6 s, and the call is over and made anew before them. Each
+# is shorter by chance: all relays' calls begin with the same change, and would all be made anew together.
+LONGEST_WAIT, SHORTER = 4 * SECOND, 0.5
 # How long past its wait a call may take: the answer stands in turn there. A whole list has no wait, and
 # discovery may keep a call in turn for some seconds before it fails it.
 PATIENCE, WHOLE_WITHIN = SECOND, 4 * SECOND
+CONNECT_WITHIN = 2 * SECOND
+# Where the list comes unasked, what stands beside this relay to tell it has it for this relay alone, and what
+# that has counts as told whether a call is out or not: a lost call is made again after so long.
+AGAIN = 100 * MS
 # Before what told nothing new is asked again. Discovery bears 200 ms between the calls of a watch.
 PAUSE = 150 * MS
 
@@ -212,18 +219,23 @@
     goes out in the very event that brought the last answer."""
 
     def __init__(self, reactor: IReactorTCP, deadlines: Deadlines, address: Address, revision: int, wait: int,
-                 told: Callable[[bool, list], None], failed: Callable[[], None]) -> None:
+                 pushed: bool, chance: Callable[[], float], told: Callable[[bool, list], None],
+                 failed: Callable[[], None]) -> None:
+        """`pushed`: a lost call is made again here, soon. Else `failed` has others say when, by `start`."""
         self._reactor = reactor
         self._deadlines = deadlines
         self._address = address
         self._revision: int | None = revision  # None: the whole list is asked for
-        self._wait = min(wait or LONGEST_WAIT // 3, LONGEST_WAIT)
+        self._longest = min(wait or LONGEST_WAIT, LONGEST_WAIT)
+        self._pushed = pushed
+        self._chance = chance
         self._told = told
         self._failed = failed
         self._link: DiscoveryLink | None = None
         self._call: Deferred | None = None
         self._due: Deadline | None = None
-        self._asked_at = 0
+        self._asked_at = self._wait = 0
+        self._in_doubt = False  # the call before was silent or lost, and nothing has come since
 
     def start(self) -> None:
         if self._call is None:
@@ -257,10 +269,11 @@
         self._drop()
 
     def _ask(self) -> None:
+        self._deadlines.cancel(self._due)
         self._asked_at = self._deadlines.now()
-        within = WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE
-        self._due = self._deadlines.after(within, self._hung)
+        self._wait = int(self._longest * (1 - SHORTER * self._chance()))
         if self._link is None:
+            self._due = self._deadlines.after_reading(CONNECT_WITHIN, self._hung)
             endpoint = TCP4ClientEndpoint(self._reactor, *self._address, timeout=None)
             self._call = connectProtocol(endpoint, DiscoveryLink()).addCallback(self._connected)
         else:
@@ -269,12 +282,23 @@
 
     def _connected(self, link: DiscoveryLink) -> Deferred[HttpAnswer]:
         self._link = link
+        self._deadlines.cancel(self._due)
+        # The answer may lie unread where this process was paused, and a drain in it counts as told.
+        self._due = self._deadlines.after_reading(
+            WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE, self._hung)
         target = PATH if self._revision is None else (
             f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}")
         return link.ask("{}:{}".format(*self._address), target)
 
     def _hung(self) -> None:
-        if self._call is not None:
+        if self._link is not None and self._revision is not None and not self._in_doubt:
+            # A watch that says nothing past its wait is broken, which is no sign of a discovery in trouble.
+            # What it has missed is about to count as told, so it is opened anew at once, though only once.
+            logger.warning("discovery: the watch is silent, opened anew")
+            self._in_doubt = True
+            self.let_go()
+            self._ask()
+        elif self._call is not None:
             self._call.cancel()
 
     def _answered(self, answer: HttpAnswer) -> None:
@@ -289,6 +313,7 @@
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
             raise HttpError(f"not a list: {why!r}") from why
         self._deadlines.cancel(self._due)
+        self._in_doubt = False
         early = self._deadlines.now() - self._asked_at < self._wait // 2
         if newer or not (members or early):
             self._revision = revision
@@ -309,10 +334,14 @@
         if self._call is None:
             # By let_go, whose doing this is.
             return
-        logger.warning("discovery: {}", why.getErrorMessage())
+        known, self._in_doubt = self._pushed and self._in_doubt, True
         self._call = None
         self.let_go()
-        self._failed()
+        if self._pushed:
+            self._due = self._deadlines.after(AGAIN, self._ask)
+        if not known:  # it would be told ten times a second
+            logger.warning("discovery: {}", why.getErrorMessage() or "no answer in time")
+            self._failed()
 
     def _drop(self) -> None:
         """The one place where the connection is given back."""
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -42,6 +42,10 @@
     def start(self, facts: SiteFacts, make: MakeBalancer = Balancer) -> None:
         self.balancer = make(self, facts)
 
+    def chance(self) -> float:
+        """A draw from the one source of random numbers that a relay has."""
+        return self.balancer.chance()
+
     def tell(self, method: Callable[..., None], *args: Any) -> bool:
         """Calls the module. A fault there costs one event, not the connections that this relay holds; but
         who was waiting for its word may never hear it, and is answered now."""
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -91,7 +91,8 @@
             connect_within = int(allowed["connect_timeout"]) * US
             known = [self.boxes.entry(entry) for entry in orders.known["members"]]
             self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
-                                  facts.ask_every, self.boxes.told, self.boxes.lost)
+                                  facts.ask_every, not facts.must_ask, self.module.chance, self.boxes.told,
+                                  self.boxes.lost)
             self.tunnels = Tunnels(
                 self.means, self.module, self.boxes, self.hearers,
                 (most - SPARE_LINKS - min(len(known), SPARE_LINKS)) // 2, self.profiles, tenants, waits,
