SIGTERM and SIGHUP wait until they are heard; a paused process reads before it ends

Seen by reading, then forced: SIGTERM or SIGHUP in the first 0.3 s (imports, start) ended the process by its default, as a crash does; so did one at its exit, when the interpreter gives signals their defaults back, and a storm of them by handlers within handlers (RecursionError, then exit -15). A paused process that went on found its own deadlines before its sockets: it ended over clients that had come meanwhile, closed connections whose line lay unread with no answer, and reset one whose last answer had not been written yet. At fault: relay.run (handlers only once all stood), Link.finish, ClientLink.came_up, Relay.stop (deadlines that did not read first). Now both signals are blocked from the program's first line, unblocked once the reactor runs, blocked again at its end; a handler blocks until its word is read. Told to end before it serves, the relay does not begin. end_all goes on where the module fails on one tunnel and all that waited have been answered. Tests: seven fail on the code before (exit -15, -1, no answer); lines in pieces and hung setups at the end were sound. The import test asks for net.relay as well now, since __main__ imports it later.

--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -6,17 +6,23 @@
 import sys
 from typing import TYPE_CHECKING
 
-from cedarledge.net.config import BadConfigError, StartingOrders, read_orders
-from cedarledge.net.relay import ReadOperatorFile, Relay, run
+from cedarledge.net import signals
 
 if TYPE_CHECKING:
+    from cedarledge.net.config import StartingOrders
+    from cedarledge.net.relay import ReadOperatorFile, Relay
     from cedarledge.operator.file import OperatorFile
 
 CAN_NOT_START = 2
 
+if __name__ == "__main__" and sys.argv[1:2] in ([], ["relay"]):
+    # Before all that takes time to import: a relay that is told to end in its first 0.3 s ends as any other.
+    signals.hold_back()
+
 
 def _reader(path: str) -> ReadOperatorFile:
     # Only with a file: it takes msgspec, which the platform's relay does without.
+    from cedarledge.net.config import BadConfigError
     from cedarledge.operator.file import read_operator_file
     from cedarledge.operator.tables import BadFileError
 
@@ -46,6 +52,10 @@
 
 def start(operator_file: str | None = None) -> int:
     """Runs the relay and gives its exit code; 2 where it could not start, with one line that says why."""
+    signals.hold_back()
+    from cedarledge.net.config import BadConfigError, read_orders
+    from cedarledge.net.relay import run
+
     try:
         if operator_file is None:
             return run(read_orders(os.environ))
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -98,8 +98,9 @@
 
     def came_up(self) -> None:
         self.listener.lives(self)
-        # From connecting on: half lines and PINGs put nothing off.
-        self.due_in(FIRST_LINE_WITHIN, self.finish)
+        # From connecting on: half lines and PINGs put nothing off. Where this process was paused the line may
+        # lie here unread, and its client is owed an answer.
+        self.due_in(FIRST_LINE_WITHIN, self.finish, reads_first=True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         if self.tun >= 0 and not self.is_open and not self.ending:
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -118,7 +118,8 @@
             self.transport.unregisterProducer()
             self.transport.resumeProducing()
             self.transport.loseWriteConnection()
-            self.due_in(LINGER, self.abort)
+            # Where this process is paused right here the last answer has not gone to the system yet.
+            self.due_in(LINGER, self.abort, reads_first=True)
         else:
             self.abort()
 
@@ -156,7 +157,7 @@
         self._ended_by_peer(abrupt=False)
         self.transport.unregisterProducer()
         self.transport.loseConnection()
-        self.due_in(LINGER, self.abort)
+        self.due_in(LINGER, self.abort, reads_first=True)
 
     def writeConnectionLost(self) -> None:  # noqa: N802
         """Closed by finish; the other half follows."""
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -14,6 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from cedarledge.choice import Balancer
+from cedarledge.net import signals
 from cedarledge.net.backends import Backends
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.buffers import Pool
@@ -209,12 +210,14 @@
             wait = int(LATE * self.stop_within)
             within = self.stop_within + KILL_LATER - wait
         self.deadlines.after(wait, self.module.tell, self.module.balancer.stopping, within)
-        self.deadlines.after(STOP_LOOK, self._end_if_empty, newcomers_until)
-        self.deadlines.after(self.stop_within + KILL_LATER, self._answer_all)
+        # Where this process was paused, connections that came meanwhile wait to be accepted, and lines to be
+        # read: looked at first, as the end would reset them without an answer.
+        self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, newcomers_until)
+        self.deadlines.after_reading(self.stop_within + KILL_LATER, self._answer_all)
 
     def _end_if_empty(self, earliest: int) -> None:
         if self.means.links.used > len(self.backends.probes) or self.clock() < earliest:
-            self.deadlines.after(STOP_LOOK, self._end_if_empty, earliest)
+            self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, earliest)
             return
         logger.info("nothing is held: ends")
         self.watching.let_go()
@@ -236,12 +239,16 @@
     has on. Raises BadConfigError."""
     from twisted.internet import reactor
 
+    signals.hold_back()
     wanted = read_operator_file() if read_operator_file is not None else None
     log_to_stderr("info")
     begin_logging()
     relay = Relay(reactor, orders, balancer)
     if wanted is not None:
         relay.follow(wanted)
+    if signals.told_to_end():
+        logger.info("told to end before it served")
+        return 0
     try:
         relay.open(orders)
     except CannotListenError as why:
@@ -250,9 +257,10 @@
                 relay.tunnels.table.most)
     if joins is not None and wanted is not None:
         joins(relay, orders, wanted)
-    # A handler may run anywhere, so it only leaves word. Without one SIGHUP would end the process, and
-    # Twisted's own for SIGTERM the reactor, each with every connection.
-    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(relay.reload, read_operator_file))
-    reactor.callWhenRunning(signal.signal, signal.SIGTERM, lambda *_: reactor.callFromThread(relay.stop))
+    # Twisted's own handler for SIGTERM, made as it starts, would end the reactor with every connection.
+    reactor.callWhenRunning(signals.hear, {
+        signal.SIGHUP: lambda: relay.reload(read_operator_file), signal.SIGTERM: relay.stop},
+        reactor.callFromThread)
     reactor.run()
+    signals.hold_back()
     return 0
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -325,9 +325,11 @@
     def end_all(self) -> None:
         """What is still held would be cut off, so it gets its answer or its MOVE."""
         for tun in self.table.handles():
-            if self.table.get(tun).up:
+            tunnel = self.table.get(tun)
+            # The module may fail on one of them, and then all that waited have been answered already.
+            if tunnel is not None and tunnel.up:
                 self.move(tun)
-            else:
+            elif tunnel is not None:
                 self.abandon(tun)
 
     def _free(self, tun: int) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -2,12 +2,22 @@
 
 from __future__ import annotations
 
+import json
+import os
 import signal
 import time
+from contextlib import suppress
 from pathlib import Path
 
-from helpers import SETTINGS, Backend, Program, http, until
+from helpers import MS, SECOND, SETTINGS, Backend, Discovery, Program, http, until
 from pytest import mark
+from twisted.internet.task import Clock
+
+from cedarledge.net.buffers import Pool
+from cedarledge.net.complaints import Complaints
+from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.links import LINGER, Link, Means
+from cedarledge.net.slots import Slots
 
 CHANGE = http(b'{"revision":8,"complete":false,"members":[]}')
 PUSHED = SETTINGS | {"membership_mode": "push"}
@@ -81,3 +91,153 @@
         time.sleep(0.05)
         assert not keys_at(relay, backends[0])
         assert relay.log.read_text().count("WARNING discovery") == 1, "once, not at each try"
+
+
+# -- the end, and signals --------------------------------------------------------------------------
+
+
+class Held(Program):
+    """A relay that stands still in its start, at the reading of its configuration, until that is given."""
+
+    def start(self) -> None:
+        self.path.unlink(missing_ok=True)
+        os.mkfifo(self.path)
+        super().start()
+        until(self._reads)
+
+    def _reads(self) -> bool:
+        with suppress(OSError):  # nobody reads yet
+            self.pipe = os.open(self.path, os.O_WRONLY | os.O_NONBLOCK)
+            return True
+        return False
+
+    def __enter__(self) -> Held:
+        return self
+
+    def give(self) -> None:
+        # What is read again later is a file.
+        self.path.rename(self.path.with_name("pipe"))
+        self.path.write_text(json.dumps(self.told))
+        os.write(self.pipe, json.dumps(self.told).encode())
+        os.close(self.pipe)
+
+
+def ends(relay: Program, within: float = 6) -> int:
+    until(lambda: relay.process.poll() is not None, within)
+    return relay.process.returncode
+
+
+def test_told_to_end_in_its_start_a_relay_ends_as_any_other(tmp_path: Path) -> None:
+    """Until the reactor ran, SIGTERM had its default: the process was ended by it, as in a crash."""
+    with Held(tmp_path, [Backend("a")]) as relay:
+        for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
+            relay.process.send_signal(number)
+        relay.give()
+        assert ends(relay) == 0 and "listens" not in relay.log.read_text()
+
+
+def test_a_new_configuration_in_mid_start_is_followed(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    other = Discovery([backend.entry() for backend in backends])
+    with Held(tmp_path, backends) as relay:
+        relay.process.send_signal(signal.SIGHUP)
+        old = relay.told
+        relay.told = old | {"discovery": other.address}
+        relay.path.rename(relay.path.with_name("pipe"))
+        relay.path.write_text(json.dumps(relay.told))
+        os.write(relay.pipe, json.dumps(old).encode())
+        os.close(relay.pipe)
+        until(relay.answers)
+        until(lambda: other.calls)
+        assert relay.client().open() == "UP r"
+
+
+@mark.parametrize("words", [(signal.SIGTERM,), (signal.SIGTERM, signal.SIGHUP)], ids=["term", "term and hup"])
+def test_no_signal_ends_a_relay_that_ends(words: tuple[signal.Signals, ...], tmp_path: Path) -> None:
+    """Said over and over, up to the interpreter's own end, which gives signals their defaults back."""
+    with Program(tmp_path, [Backend("a"), Backend("b")]) as relay:
+        client = relay.client()
+        assert client.open() == "UP r"
+        start = time.monotonic()
+        while relay.process.poll() is None and time.monotonic() - start < 15:
+            for word in words:
+                relay.process.send_signal(word)
+            time.sleep(0.001)
+        assert relay.process.returncode == 0 and client.hear() == "MOVE"
+
+
+def test_who_came_while_an_ending_relay_was_paused_is_answered(tmp_path: Path) -> None:
+    """Nothing was held as it went on, and the second for newcomers was over: it ended, and reset them."""
+    with Program(tmp_path, [Backend("a"), Backend("b")]) as relay:
+        relay.ask_to_stop()
+        until(lambda: "stops within" in relay.log.read_text())
+        relay.process.send_signal(signal.SIGSTOP)
+        client = relay.client()
+        client.link.sendall(b"OPEN 5 k c=feed,d=1500\r\n")
+        time.sleep(1.2)
+        relay.process.send_signal(signal.SIGCONT)
+        assert client.hear() == "BUSY", "the time for the other relays to take it is over too"
+        assert ends(relay) == 0
+
+
+def test_a_line_that_lay_unread_while_the_process_was_paused_is_answered(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a")]) as relay:
+        client, half = relay.client(), relay.client()
+        half.link.sendall(b"OPEN 6 k c=feed")
+        until(lambda: relay.answers())  # so both are accepted, and the half line is read
+        relay.process.send_signal(signal.SIGSTOP)
+        client.link.sendall(b"OPEN 5 k c=feed,d=3000\r\n")
+        half.link.sendall(b",d=3000\r\n")
+        time.sleep(2.7)
+        relay.process.send_signal(signal.SIGCONT)
+        assert [client.hear(), half.hear()] == ["UP r"] * 2
+
+
+def test_the_end_answers_lines_in_pieces_and_setups_that_hang(tmp_path: Path) -> None:
+    backends = [Backend("a", "hang"), Backend("b", "hang")]
+    with Program(tmp_path, backends) as relay:
+        hung, once, pieces = (relay.client() for _ in range(3))
+        hung.link.sendall(b"OPEN 1 k c=feed,d=1500\r\n")
+        once.link.sendall(b"OPEN 2 k c=bill,d=1500\r\n")
+        pieces.link.sendall(b"OPEN 3 k c=feed,")
+        until(lambda: sum(len(backend.heads) for backend in backends) >= 2)
+        relay.ask_to_stop()
+        until(lambda: "stops within" in relay.log.read_text())
+        late = relay.client()
+        late.link.sendall(b"OPEN 4 k c=feed,d=1")
+        for part in (b"d=15", b"00\r", b"\n"):
+            time.sleep(0.1)
+            pieces.link.sendall(part)
+        late.link.sendall(b"500\r\n")
+        for client in (hung, once, pieces, late):
+            assert client.hear() in ("ERR", "BUSY") and client.hear() == ""
+        assert ends(relay) == 0
+        assert sum(head.startswith("OPEN 2 ") for backend in backends for head in backend.heads) == 1
+
+
+class Wire:
+    """A transport that takes what it is given to the system in the reactor's next turn, as TCP's does."""
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+
+    def __getattr__(self, name: str) -> object:
+        return lambda *_: self.calls.append(name)
+
+
+def test_the_last_answer_of_a_process_that_is_paused_goes_out_first() -> None:
+    """Paused as it ended a connection, it found the time for its peer over before it had written anything."""
+    clock = Clock()
+
+    def now() -> int:
+        return round(clock.seconds() * SECOND)
+
+    deadlines = Deadlines(clock, now)
+    link = Link(Means(clock, now, deadlines, Pool(9, 1), Slots(1), Complaints(deadlines)))
+    link.transport = Wire()
+    link.connectionMade()
+    link.finish()
+    clock.advance((LINGER + 200 * MS) / SECOND)
+    assert "abortConnection" not in link.transport.calls, "it writes in this turn"
+    clock.advance(0.002)
+    assert link.transport.calls[-1] == "abortConnection"
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -191,8 +191,8 @@
         [
             sys.executable,
             "-c",
-            "import sys, cedarledge.__main__; print([name for name in sys.modules if name in "
-            "('click', 'msgspec', 'numpy', 'matplotlib', 'cedarledge.cli') or "
+            "import sys, cedarledge.__main__, cedarledge.net.relay; print([name for name in sys.modules if "
+            "name in ('click', 'msgspec', 'numpy', 'matplotlib', 'cedarledge.cli') or "
             "'standins' in name or 'rig' in name])",
         ],
         capture_output=True,
