Who has left is not sent on; a kept connection's end, a look and a slot leave no trace

Found by reading, then forced one by one with a relay that stops itself at a place: - a line waited for the reactor's next turn and went out in it, whatever its client had done since (backends.SetupLink.resumeProducing): paused there for 0.35 s, all of four cases were sent on. It goes to the system in the step in which its client's connection is looked at (MSG_PEEK). A storm of 400 leavers was sound before: none. - a look whose client had left was ended by the next look's deadline, and called its member busy for 2 s (choice._look_no_longer). - a setup that found no slot, its client gone in the same turn, stayed counted in the module for good (tunnels._set_up). - a cold member's budget stayed spent for what was never sent (choice._place). - a kept probe connection that its backend closed as the probe was on its way called the backend busy for 2 s (backends.ProbeLink.peer_ended): asked anew, once. - an answer before the line was written raised in Twisted (a producer twice) after UP had gone to the client; it counts as not connected, and once-only goes elsewhere.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -462,8 +462,7 @@
             return
         self.by_rule[rule] += 1
         timeout = self._patience(now, tun)
-        if self._is_cold(now, member):
-            member.credit -= self._size(now, tun)
+        member.credit -= self._size(now, tun)
         tun.ep, tun.sent_at, tun.out = member.ep, now, True
         tun.setups += 1
         tun.tried.append(member.ep)
@@ -484,8 +483,7 @@
 
     def _wait_no_longer(self, now: int, waiting: list[int]) -> None:
         for tun_id in waiting:
-            del self.looking[tun_id]
-            if tun_id in self.tuns:
+            if self.looking.pop(tun_id, None) is not None:
                 self._place(now, tun_id, self.tuns[tun_id])
 
     def _look_no_longer(self, now: int) -> None:
@@ -493,8 +491,7 @@
 
         A host may count in coarser units and wake a little early; a tunnel passed over then would be lost.
         """
-        late = {tun_id: ep for tun_id, ep in self.looking.items()
-                if tun_id not in self.tuns or now > self.tuns[tun_id].look_until - MS}
+        late = {tun: ep for tun, ep in self.looking.items() if now > self.tuns[tun].look_until - MS}
         for ep in late.values():
             self.members[ep].full_until = max(self.members[ep].full_until, now + BUSY_HOLD)
         self._wait_no_longer(now, list(late))
@@ -743,6 +740,8 @@
         if not tun.opened_at:
             member.pending -= 1
             self.in_flight -= 1
+            if outcome is Outcome.NOT_SENT:
+                member.credit += self._size(now, tun)
             if outcome not in NEVER_RAN and tun.bound < 0:
                 tun.bound, tun.bound_at = ep, tun.sent_at
             self._learn_failure(now, tun, member, outcome, took)
@@ -787,6 +786,7 @@
             tun.over = True
             if not tun.out:
                 del self.tuns[tun_id]
+                self.looking.pop(tun_id, None)  # nobody waits for that look, so it can't be late
 
     def load_told(self, now: int, tun_id: int, load: float) -> None:
         tun = self.tuns.get(tun_id)
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -37,6 +37,7 @@
 
     def may_send(self, tun: int, ep: int) -> bool: ...
     def client_waits(self, tun: int) -> int: ...
+    def client_has_left(self, tun: int) -> bool: ...
     def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
     def lines_back(self, tun: int, lines: list[bytes]) -> None: ...
     def garbled(self, tun: int) -> None: ...
@@ -121,16 +122,20 @@
         # The last setup's end is the client's answer, which is not put off.
         spare = self.backends.watcher.client_waits(self.tun) - left
         self.due_in(left, self._too_late, reads_first=spare > TURN)
-        # As a pull producer it is asked once for the line and once more when the system has taken it all.
+        if self.backends.watcher.client_has_left(self.tun):
+            # Its end is read within this turn of the reactor, or the next, and then this one is called off.
+            return
+        # As a pull producer it is asked once for the line, which goes out in the very step in which its
+        # client was seen there, and once more when the system has taken what it did not take at once.
         self.transport.registerProducer(self, False)
 
     def resumeProducing(self) -> None:  # noqa: N802
-        if self.writing:
-            self.written = True
-            self.transport.unregisterProducer()
-            return
-        self.writing = True
-        self.send_line(self.head(self.give_up - self.means.clock()))
+        if not self.writing:
+            self.writing = True
+            if not self.send_lines([self.head(self.give_up - self.means.clock())]):
+                return
+        self.written = True
+        self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:  # noqa: N802
         """The connection broke before the line was written; connectionLost says so."""
@@ -141,6 +146,10 @@
         self._settle(Outcome.TIMEOUT)
 
     def lines_came(self, lines: list[bytes]) -> None:
+        if not self.written:
+            # No backend answers what it has not read: this line is nobody's, and the client's never ran.
+            self.bad_input("an answer before the line was written")
+            return
         if not self.opened:
             self._answered(lines.pop(0))
         if lines and self.opened and not self.ending:
@@ -202,6 +211,7 @@
         self.backends = backends
         self.ep = ep
         self.out = self.again = False
+        self.kept = False  # it has answered before
         self.asked_at = 0
 
     def ask(self) -> None:
@@ -235,6 +245,7 @@
             self.due_in(ASK_AGAIN, self._write)
             return
         self.out = self.again = False
+        self.kept = True
         self.due_in(self.backends.idle_within, self._idle)
         if slower > 1 and report.asked is not None:
             # The report is older than what the probe itself has met.
@@ -245,10 +256,20 @@
         self.backends.forget(self)
         self.finish()
 
+    def turn_out(self) -> None:
+        self.kept = False  # ended from here, for what the backend did or did not say
+        super().turn_out()
+
     def peer_ended(self, abrupt: bool) -> None:
         self.backends.forget(self)
-        if self.out:
-            self.out = self.again = False
+        if not self.out:
+            return
+        self.out = self.again = False
+        if self.kept:
+            # It was idle for longer than its backend bears, which closed it as the probe was on its way. That
+            # says nothing of the backend; taken for silence it called a sound one busy for two seconds.
+            self.backends.probe(self.ep, self.address)
+        else:
             self.backends.probe_over(self.ep, False, LoadReport())
 
 
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -89,10 +90,20 @@
     def send_line(self, line: bytes) -> None:
         self.transport.write(line + END)
 
-    def send_lines(self, lines: list[bytes]) -> None:
-        """An open tunnel's lines. They go straight to the system where nothing waits before them: by way of
-        the reactor each would cost two changes of what it watches, and a turn of its own. What the system
-        does not take now is the transport's, and holds up the other side from there."""
+    def peer_has_left(self) -> bool:
+        """Whether its peer has ended it, and that only lies unread: after a pause of this process, or where
+        the reactor comes to another connection first."""
+        try:
+            return not self.transport.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+
+    def send_lines(self, lines: list[bytes]) -> bool:
+        """Lines that go straight to the system where nothing waits before them: by way of the reactor each
+        would cost two changes of what it watches, and a turn of its own. What the system does not take now is
+        the transport's, and holds up the other side from there. Gives whether the system has all."""
         data = END.join((*lines, b""))
         transport = self.transport
         # The transport's own buffers, by Twisted's names for them as of the version that is pinned.
@@ -103,9 +114,10 @@
                 pass
             except OSError:
                 # It is broken; the reactor finds out in its own way, and connectionLost says how.
-                return
+                return False
         if data:
             transport.write(data)
+        return not data
 
     def finish(self) -> None:
         """Ends it once all is written. Only the sending side is closed at first: closed at once, a line
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -92,7 +92,14 @@
             tunnel.setup = self.backends.set_up(tun, ep, self.boxes.addresses[ep], tunnel.opening.head,
                                                 timeout, connect_within)
         except FullError:
-            self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+            self.deadlines.after(0, self._not_sent, tun, ep)
+
+    def _not_sent(self, tun: int, ep: int) -> None:
+        if self.table.get(tun) is not None:
+            self.setup_over(tun, ep, Outcome.NOT_SENT, 0, None, False)
+        else:
+            # Its client has left since. The module still counts the setup, and would for good.
+            self.module.tell(self.module.balancer.setup_ended, tun, ep, True, Outcome.NOT_SENT, 0, None)
 
     def decline(self, tun: int, come_back: int) -> None:
         self.table.get(tun).client.decline(come_back)
@@ -212,6 +219,10 @@
         tunnel = self.table.get(tun)
         return -1 if tunnel is None else tunnel.began + tunnel.opening.wait - WAY_BACK - self.clock()
 
+    def client_has_left(self, tun: int) -> bool:
+        tunnel = self.table.get(tun)
+        return tunnel is None or tunnel.client.peer_has_left()
+
     def setup_up(self, tun: int, line: bytes, took: int) -> None:
         tunnel = self.table.get(tun)
         logger.debug("tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep],
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -443,8 +443,11 @@
         self.log = tmp / "log"
         self.start()
 
+    def command(self) -> list[str]:
+        return [sys.executable, "-m", "cedarledge", *self.arguments]
+
     def start(self) -> None:
-        self.process = subprocess.Popen([sys.executable, "-m", "cedarledge", *self.arguments],
+        self.process = subprocess.Popen(self.command(),
                                         stderr=self.log.open("ab"),
                                         env=os.environ | {"BALANCER_CONFIG": str(self.path)})
 
@@ -469,6 +472,17 @@
         self.path.write_text(text or json.dumps(self.told | other))
         self.process.send_signal(signal.SIGHUP)
 
+    def pause(self) -> None:
+        self.process.send_signal(signal.SIGSTOP)
+        self.until_paused()
+
+    def until_paused(self) -> None:
+        """Also where it stops by itself."""
+        until(lambda: Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()[0] == "T")
+
+    def go_on(self) -> None:
+        self.process.send_signal(signal.SIGCONT)
+
     def ask_to_stop(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -5,12 +5,30 @@
 import json
 import os
 import signal
+import socket
+import sys
 import time
 from contextlib import suppress
 from pathlib import Path
-
-from helpers import MS, SECOND, SETTINGS, Backend, Discovery, Program, http, until
-from pytest import mark
+from typing import IO
+
+from helpers import (
+    MS,
+    SECOND,
+    SETTINGS,
+    START,
+    Backend,
+    Client,
+    Discovery,
+    Program,
+    fleet,
+    http,
+    listed,
+    reset,
+    teach,
+    until,
+)
+from pytest import MonkeyPatch, approx, mark
 from twisted.internet.task import Clock
 
 from cedarledge.net.buffers import Pool
@@ -18,6 +36,7 @@
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.links import LINGER, Link, Means
 from cedarledge.net.slots import Slots
+from cedarledge.terms import ListForm, Outcome
 
 CHANGE = http(b'{"revision":8,"complete":false,"members":[]}')
 PUSHED = SETTINGS | {"membership_mode": "push"}
@@ -67,11 +86,11 @@
     backends = [Backend("a"), Backend("b")]
     with Program(tmp_path, backends) as relay:
         until(lambda: relay.discovery.calls)
-        relay.process.send_signal(signal.SIGSTOP)
+        relay.pause()
         relay.discovery.tell(backends[0].entry("draining"))
         until(lambda: relay.discovery.answered)
         time.sleep(3.3)  # past the longest wait of 2 s and what a call may take beyond
-        relay.process.send_signal(signal.SIGCONT)
+        relay.go_on()
         assert not keys_at(relay, backends[0])
         assert len(relay.discovery.calls) == 2, "and the watch goes on"
 
@@ -171,11 +190,11 @@
     with Program(tmp_path, [Backend("a"), Backend("b")]) as relay:
         relay.ask_to_stop()
         until(lambda: "stops within" in relay.log.read_text())
-        relay.process.send_signal(signal.SIGSTOP)
+        relay.pause()
         client = relay.client()
         client.link.sendall(b"OPEN 5 k c=feed,d=1500\r\n")
         time.sleep(1.2)
-        relay.process.send_signal(signal.SIGCONT)
+        relay.go_on()
         assert client.hear() == "BUSY", "the time for the other relays to take it is over too"
         assert ends(relay) == 0
 
@@ -185,11 +204,11 @@
         client, half = relay.client(), relay.client()
         half.link.sendall(b"OPEN 6 k c=feed")
         until(lambda: relay.answers())  # so both are accepted, and the half line is read
-        relay.process.send_signal(signal.SIGSTOP)
+        relay.pause()
         client.link.sendall(b"OPEN 5 k c=feed,d=3000\r\n")
         half.link.sendall(b",d=3000\r\n")
         time.sleep(2.7)
-        relay.process.send_signal(signal.SIGCONT)
+        relay.go_on()
         assert [client.hear(), half.hear()] == ["UP r"] * 2
 
 
@@ -241,3 +260,146 @@
     assert "abortConnection" not in link.transport.calls, "it writes in this turn"
     clock.advance(0.002)
     assert link.transport.calls[-1] == "abortConnection"
+
+
+# -- a client that leaves while it waits -------------------------------------------------------------
+
+
+class Stopping(Program):
+    """A relay that stops itself at a place; see stopping_relay.py."""
+
+    def command(self) -> list[str]:
+        return [sys.executable, str(Path(__file__).with_name("stopping_relay.py")), *self.arguments]
+
+
+def leave(client: Client, abrupt: bool) -> None:
+    if abrupt:
+        reset(client.link, client.file)
+    else:
+        client.close()
+
+
+def asks(relay: Program, names: str = "c=feed,d=1500") -> Client:
+    client = relay.client()
+    client.link.sendall(f"OPEN {time.monotonic_ns():x} k {names}\r\n".encode())
+    return client
+
+
+def holds(relay: Program) -> int:
+    return len(os.listdir(f"/proc/{relay.process.pid}/fd"))
+
+
+@mark.parametrize("abrupt", [False, True], ids=["fin", "reset"])
+@mark.parametrize("place", ["tunnels Tunnels arrived before", "tunnels Tunnels arrived after",
+                            "backends SetupLink connect after", "backends SetupLink came_up before",
+                            "backends SetupLink came_up after"])
+def test_who_leaves_while_the_process_is_paused_is_not_sent_on(
+        place: str, abrupt: bool, tmp_path: Path) -> None:
+    """The line waited for the reactor's next turn, and went out in it whatever the client had done since."""
+    backend = Backend("a")
+    with Stopping(tmp_path, [backend], f"cedarledge.net.{place}".split()) as relay:
+        before = holds(relay)
+        client = asks(relay)
+        relay.until_paused()
+        time.sleep(0.05)
+        sent = len(backend.heads)  # while the client was there
+        leave(client, abrupt)
+        time.sleep(0.35)
+        relay.go_on()
+        until(lambda: holds(relay) <= before + 1)  # one for the probes that are kept
+        assert len(backend.heads) == sent
+        assert relay.client().open() == "UP r"
+
+
+def test_of_a_storm_of_clients_that_leave_none_is_sent_on_later(tmp_path: Path) -> None:
+    """Most of them before their line is read, with it in one packet or behind it, by FIN or by a reset."""
+    backends = [Backend(name) for name in "abc"]
+    with Program(tmp_path, backends) as relay:
+        assert relay.client().open() == "UP r"
+        before = holds(relay)
+        for number in range(40):
+            gone: list[Client] = []
+            relay.pause()
+            for place in range(10):
+                client = asks(relay)
+                gone.append(client)
+                if place % 2:
+                    leave(client, abrupt=place % 4 == 1)
+            for place in range(0, 10, 2):
+                leave(gone[place], abrupt=place % 4 == 0)
+            time.sleep(0.01)
+            relay.go_on()
+            if number % 8 == 7:
+                assert relay.client().open() == "UP r"
+        until(lambda: holds(relay) <= before + 2 + 5 * 2)
+        heads = sum(len(backend.heads) for backend in backends)
+        assert heads == 6, f"{heads - 6} of 400 were sent on"
+
+
+def test_a_look_that_nobody_waits_for_any_more_harms_no_member() -> None:
+    """Its client had left; the next look's end took the member for one that did not answer in time."""
+    ledger = fleet(2, cells=1)
+    ledger.answers = False
+    ledger.run(4 * SECOND)
+    gone = ledger.arrive()
+    seen = ledger.balancer.members[ledger.balancer.looking[gone]]
+    ledger.balancer.client_gone(ledger.now, gone)
+    ledger.cases[gone].answered = True
+    ledger.run(SECOND)
+    assert not seen.full_until and not ledger.balancer.looking and not ledger.balancer.tuns
+
+
+def test_what_was_never_sent_costs_a_cold_member_nothing_of_its_budget() -> None:
+    ledger = fleet(3, cells=1)
+    teach(ledger)
+    ledger.tell(ListForm.CHANGES, listed(0, cells=1, started=START))
+    cold = ledger.balancer.members[0]
+    ledger.run(3 * SECOND)
+    cold.credit = 1.5
+    while not ledger.sends or ledger.sends[-1][2] != 0:
+        ledger.arrive(hint=100.0)
+    tun, left = ledger.sends[-1][1], cold.credit
+    ledger.balancer.client_gone(ledger.now, tun)
+    ledger.cases[tun].answered = True
+    ledger.end(tun, Outcome.NOT_SENT)
+    assert cold.credit == approx(left + 1) and not cold.open and not cold.pending
+
+
+# -- kept connections ------------------------------------------------------------------------------
+
+
+class Closing(Backend):
+    """Closes a probe's connection as its second probe comes, which it has not read."""
+
+    def __init__(self, name: str, abrupt: bool) -> None:
+        super().__init__(name)
+        self.abrupt = abrupt
+        self.closed = 0
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        if lines.peek(1).startswith(b"STATS"):
+            lines.readline()
+            link.sendall(f"PONG {self.stats}\r\n".encode())
+            if lines.peek(1):
+                self.closed += 1
+                if self.abrupt:
+                    reset(link, lines)
+            return
+        super().talk(link, lines)
+
+
+@mark.parametrize("abrupt", [False, True], ids=["fin", "reset"])
+def test_a_kept_connection_that_its_backend_closes_is_no_sign_against_the_backend(
+        abrupt: bool, tmp_path: Path, monkeypatch: MonkeyPatch) -> None:
+    """It was taken for one that does not answer, and got no newcomers for two seconds."""
+    monkeypatch.setenv("LOGURU_LEVEL", "DEBUG")
+    backend = Closing("a", abrupt)
+    with Program(tmp_path, [backend]) as relay:
+        for number in range(3):
+            # What was seen longer ago than that is looked at before it is chosen.
+            time.sleep(2.1)
+            assert relay.client().open() == "UP r" and len(backend.heads) == number + 1
+        assert backend.closed and "probe of a: False" not in relay.log.read_text()
+        backend.socket.shutdown(2)
+        backend.socket.close()
+        until(lambda: "probe of a: False" in relay.log.read_text())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -26,6 +26,7 @@
 from cedarledge.net.links import Means
 from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError, Slots
+from cedarledge.terms import Outcome
 from cedarledge.words import ReportReader
 
 often = settings(derandomize=True, deadline=None, max_examples=200)
@@ -175,6 +176,12 @@
 
 
 class Box(StringTransport):
+    dataBuffer, _tempDataBuffer = b"", ()  # noqa: N815
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.socket = SimpleNamespace(send=lambda data: self.write(data) or len(data))
+
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """As a socket's."""
 
@@ -188,6 +195,7 @@
     deadlines = Deadlines(reactor, now)
     means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
     watcher = SimpleNamespace(may_send=lambda *_: True, client_waits=lambda _: 2 * SECOND,
+                              client_has_left=lambda _: False,
                               setup_over=lambda *args: outcomes.append(args))
     backends = Backends(means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND,
                         b"PING")
@@ -203,6 +211,31 @@
     assert not outcomes
 
 
+def test_an_answer_before_the_line_was_written_is_nobodys() -> None:
+    """It was passed on, and the connection broke over it in this program: once-only tunnels ended as run."""
+    reactor, outcomes = MemoryReactorClock(), []
+
+    def now() -> int:
+        return round(reactor.seconds() * SECOND)
+
+    deadlines = Deadlines(reactor, now)
+    means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
+    watcher = SimpleNamespace(may_send=lambda *_: True, client_waits=lambda _: 2 * SECOND,
+                              client_has_left=lambda _: False,
+                              setup_over=lambda *args: outcomes.append(args[2]))
+    backends = Backends(means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND,
+                        b"PING")
+    backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
+    link = reactor.tcpClients[0][2].buildProtocol(None)
+    transport = Box()
+    transport.socket = SimpleNamespace(send=lambda data: 3)  # the rest is the transport's
+    link.makeConnection(transport)
+    transport.producer.resumeProducing()
+    assert transport.value() == b"N\r\n" and transport.producer is not None
+    link.dataReceived(b"UP r\r\n")
+    assert outcomes == [Outcome.CONNECT_FAILED] and transport.disconnected
+
+
 CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
            b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n")
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -41,6 +41,9 @@
         self.said: list[str] = []
         self.tun = -1
 
+    def peer_has_left(self) -> bool:
+        return "LEFT" in self.said
+
     def opened(self, line: bytes) -> None:
         self.said.append("UP")
 
@@ -256,3 +259,22 @@
     scene.reactor.advance(0.01)
     assert scene.tunnels.table.used == 0, "every slot is back"
     assert not scene.tunnels.ids
+    if not broken:
+        module = scene.module.balancer
+        assert not (module.tuns or module.looking or module.in_flight), "nothing is counted that is not there"
+        assert not any(member.open or member.pending or member.tuns for member in module.members.values())
+
+
+def test_a_setup_that_found_no_slot_is_not_counted_once_its_client_has_left() -> None:
+    """Both in one turn of the reactor: the module counted it for as long as the relay ran."""
+    scene = Scene()
+    for ep in range(BOXES):
+        scene.reports(ep, 0.1)
+    scene.full = True
+    scene.comes("a")
+    scene.leaves(0)
+    module = scene.module.balancer
+    assert module.in_flight == 1
+    scene.reactor.advance(0)
+    assert not module.in_flight and not module.tuns and not any(
+        member.open or member.pending for member in module.members.values())
