Settings of other customers are served, or refused by their place

An infinite number ended the start in a traceback, and most bad values were named by no place. At fault: words.site_facts and Relay.__init__ took what was told as it came. Now check_settings names the place of all that can't be used, before the start and on SIGHUP; what may be left out may be null too; zero goals and limits are none. A watch waits 0.4 s at least, however often the settings want the list asked for. One sample of an older test was no whole set of settings, which the check now asks for, and is whole.

--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -25,6 +25,8 @@
 # is later. With waits no longer than this it is the 6 s, and the call is over and made anew before them. Each
 # is shorter by chance: all relays' calls begin with the same change, and would all be made anew together.
 LONGEST_WAIT, SHORTER = 4 * SECOND, 0.5
+# However soon the settings want it asked again: without a wait the two would go round as fast as they can.
+LEAST_WAIT = 400 * MS
 # How long past its wait a call may take: the answer stands in turn there. A whole list has no wait, and
 # discovery may keep a call in turn for some seconds before it fails it.
 PATIENCE, WHOLE_WITHIN = SECOND, 4 * SECOND
@@ -226,7 +228,7 @@
         self._deadlines = deadlines
         self._address = address
         self._revision: int | None = revision  # None: the whole list is asked for
-        self._longest = min(wait or LONGEST_WAIT, LONGEST_WAIT)
+        self._longest = max(LEAST_WAIT, min(wait or LONGEST_WAIT, LONGEST_WAIT))
         self._pushed = pushed
         self._chance = chance
         self._told = told
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -82,14 +82,17 @@
         self.module = Module(self.clock, self.deadlines)
         try:
             self.boxes = BoxList(self.module, self.hearers, settings)
-            self.profiles = {row["name"]: place for place, row in enumerate(settings.get("profiles") or ())}
-            tenants = {row["name"]: place for place, row in enumerate(settings.get("tenants") or ())}
-            waits = [int(row["client_timeout"]) * US for row in settings["profiles"]]
+            # Names may be numbers there; on the wire they are words.
+            self.profiles, tenants = (
+                {str(row["name"]): place for place, row in enumerate(settings.get(kind) or ())}
+                for kind in ("profiles", "tenants"))
+            # Clients say whole milliseconds.
+            waits = [max(MS, int(row["client_timeout"]) * US or LONGEST_STOP) for row in settings["profiles"]]
             # Clients' lines come back at once however slow the backend's messages are; they show hangs alone.
             facts = site_facts(settings, orders.seed, self.clock(), self.boxes.zones)._replace(
                 delays_told=False)
-            allowed = settings["allowed"]
-            connect_within = int(allowed["connect_timeout"]) * US
+            allowed, reports = settings["allowed"], settings.get("load_report") or {}
+            connect_within = int(allowed["connect_timeout"]) * US or LONGEST_STOP  # 0: no limit is told
             known = [self.boxes.entry(entry) for entry in orders.known["members"]]
             self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
                                   facts.ask_every, not facts.must_ask, self.module.chance, self.boxes.told,
@@ -104,10 +107,10 @@
                 Paces((facts.tightest or min(goals)) // 5), connect_within,
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
                 probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
-                probe_word=b"PING" if settings["load_report"]["how"] == "off" else b"STATS")
+                probe_word=b"PING" if reports.get("how", "off") == "off" else b"STATS")
             self.stop_within = min(LONGEST_STOP, max(waits))
             tells = (settings.get("domain") or {}).get("tells_delay")
-        except (KeyError, TypeError, ValueError, AttributeError) as why:
+        except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as why:
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
         slow = facts.tightest // 3 if tells else 0
         self.reported, in_lines = (Delays(self.clock, slow, self.delay_told) for _ in range(2))
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from functools import lru_cache
 from hashlib import blake2b
@@ -60,24 +61,68 @@
         return LoadReport(**known)
 
 
+# What no relay can do without, by its place; and what may be left out, be null, or be there.
+NEEDED = ("allowed.connect_timeout", "safety.cold_from", "safety.warm_within", "safety.fall_multiple",
+          "safety.overload_for")
+NEEDED_OF_PROFILES = ("setup_goal", "client_timeout", "credit")
+OPTIONAL = ("allowed.conn_idle", "allowed.max_retry_after", "allowed.most_setups", "safety.ask_every",
+            "overage_credit")
+TABLES = ("allowed", "safety", "domain", "prices", "load_report")
+LISTS = ("profiles", "tenants", "dcs", "host_types", "domain.message_aim", "domain.tenant_quota_connections")
+
+
+def _at(settings: Mapping[str, Any], place: str) -> Any:
+    value: Any = settings
+    for name in place.split("."):
+        value = value.get(name) if isinstance(value, Mapping) else None
+    return value
+
+
+def _check_number(value: Any, place: str, most: float = math.inf) -> None:
+    # A bool is a number to Python, and NaN is within no bounds.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most or (
+            math.isinf(value)):
+        bound = "a number from 0" if math.isinf(most) else f"a number from 0 to {most:g}"
+        raise ValueError(f"settings.{place}: expected {bound}, got {value!r}")
+
+
 def check_settings(settings: Mapping[str, Any]) -> None:
-    """Raises ValueError with the place of the first thing about the deployment's shape that can't be used."""
+    """Raises ValueError with the place of the first thing that can't be used."""
+    if not isinstance(settings, Mapping):
+        raise ValueError(f"settings: expected names with values, got {settings!r}")
+    for place in TABLES:
+        if not isinstance(_at(settings, place) or {}, Mapping):
+            raise ValueError(f"settings.{place}: expected names with values, got {_at(settings, place)!r}")
+    for place in LISTS:
+        if not isinstance(_at(settings, place), list | None):
+            raise ValueError(f"settings.{place}: expected a list, got {_at(settings, place)!r}")
     relays = settings.get("group_size")
     if relays is not None and (not isinstance(relays, int) or isinstance(relays, bool) or relays < 1):
         raise ValueError(f"settings.group_size: expected a whole number from 1, got {relays!r}")
     zone, zones = settings.get("zone"), settings.get("dcs")
     if zone is not None and zones is not None and zone not in zones:
         raise ValueError(f"settings.zone: {zone!r} is none of settings.dcs: {', '.join(map(str, zones))}")
-    prices = settings.get("prices")
-    if prices is not None and not isinstance(prices, Mapping):
-        raise ValueError(f"settings.prices: expected names with numbers, got {prices!r}")
-    crossing = (prices or {}).get("cross_zone", 0)
-    if isinstance(crossing, bool) or not isinstance(crossing, int | float) or not 0 <= crossing <= 1:
-        raise ValueError(f"settings.prices.cross_zone: expected a number from 0 to 1, got {crossing!r}")
-    groups = (settings.get("domain") or {}).get("groups", False)
-    if not isinstance(groups, bool):
+    _check_number((settings.get("prices") or {}).get("cross_zone") or 0, "prices.cross_zone", 1)
+    groups = _at(settings, "domain.groups")
+    if groups is not None and not isinstance(groups, bool):
         # The word "false" would read as true, and one relay would give way sooner than all the others.
         raise ValueError(f"settings.domain.groups: expected true or false, got {groups!r}")
+    for place in NEEDED:
+        _check_number(_at(settings, place), place)
+    for place in OPTIONAL:
+        _check_number(_at(settings, place) or 0, place)
+    if not settings.get("profiles"):
+        raise ValueError("settings.profiles: expected one at least")
+    for kind, needed in (("profiles", NEEDED_OF_PROFILES), ("tenants", ())):
+        for number, row in enumerate(settings.get(kind) or ()):
+            if not isinstance(row, Mapping) or row.get("name") is None:
+                raise ValueError(f"settings.{kind}[{number}]: expected values and a name, got {row!r}")
+            for name in needed:
+                _check_number(row.get(name), f"{kind}[{number}].{name}")
+            _check_number(row.get("window") or 0, f"{kind}[{number}].window")
+    for place in ("domain.message_aim", "domain.tenant_quota_connections"):
+        for number, value in enumerate(_at(settings, place) or ()):
+            _check_number(value or 0, f"{place}[{number}]")
 
 
 def site_facts(settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]) -> SiteFacts:
@@ -85,6 +130,7 @@
     safety = settings["safety"]
     domain = settings.get("domain") or {}
     goals = domain.get("message_aim") or ()
+    overage = settings.get("overage_credit")
     return SiteFacts(
         now=now,
         seed=seed,
@@ -92,7 +138,7 @@
         relays=max(1, settings.get("group_size") or 1),
         zone=zones[settings.get("zone")],
         profiles=tuple(
-            _profile(row, goals[place] if place < len(goals) else 0)
+            _profile(row, (goals[place] if place < len(goals) else 0) or 0)
             for place, row in enumerate(settings.get("profiles") or ())),
         ranked=settings.get("weight_kind", "off") != "off",
         must_ask=settings.get("membership_mode") == "ask",
@@ -102,13 +148,14 @@
         come_back_max=int(allowed.get("max_retry_after") or 0) * US if allowed.get("retry_after") else 0,
         most_setups=int(allowed.get("most_setups") or 1),
         cold_from=float(safety["cold_from"]),
-        warm_within=int(safety["warm_within"]) * US,
+        # Where backends need no time to warm, the moment that they do need stands for it.
+        warm_within=max(MS, int(safety["warm_within"]) * US),
         fall_multiple=float(safety["fall_multiple"]),
         fall_span=int(safety["overload_for"]) * US,
         grouped=bool(domain.get("groups")),
         quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
-        over_share_credit=float(settings.get("overage_credit", 1)),
-        crossing=float((settings.get("prices") or {}).get("cross_zone", 0)),
+        over_share_credit=1.0 if overage is None else float(overage),
+        crossing=float((settings.get("prices") or {}).get("cross_zone") or 0),
     )
 
 
@@ -118,7 +165,8 @@
         effect=EFFECTS.get(row.get("semantics"), Effect.ONCE_ONLY),
         dedup=DEDUPS.get(row.get("group"), Dedup.CELL),
         window=int(row.get("window") or 0) * US,
-        setup_goal=int(row["setup_goal"]) * US,
+        # Without a goal any time will do that the client waits.
+        setup_goal=int(row["setup_goal"] or row.get("client_timeout") or 0) * US or SECOND,
         message_goal=int(message_goal * US),
         credit=float(row["credit"]),
     )
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -120,9 +120,10 @@
 
 
 SETTINGS = {
-    "allowed": {"most_setups": 4}, "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3,
-                                              "overload_for": 2_000_000},
-    "profiles": [], "zone": "here", "dcs": ["here", "there"]}
+    "allowed": {"most_setups": 4, "connect_timeout": 150_000},
+    "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3, "overload_for": 2_000_000},
+    "profiles": [{"name": "feed", "setup_goal": 300_000, "client_timeout": 900_000, "credit": 1}],
+    "zone": "here", "dcs": ["here", "there"]}
 
 
 def test_the_price_of_a_crossing_left_out_is_nothing_and_what_is_told_is_read() -> None:
