The judge finds who is sent on after leaving; the lease's end reads first; steps forced

A hand-over's lease could end in a paused old process while the word that it was taken lay unread: it took clients in again and both processes said that they serve (ready yes from both). At fault: Handover._asked, a deadline that did not read first; the one for operators' calls alike. A test forces it and fails on the code before. New processes that stop past the lease, are told to end or are killed at each of five steps of their start: sound, fifteen cases. The judge has a rule for setups that go out over 0.3 s after their client has left.

--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -357,7 +357,8 @@
         logger.info("handover: a new process asks; nothing more is taken in here")
         self.after = peer
         self.listener.hold_back()
-        self._lease = self.deadlines.after(LEASE, self._lapsed, peer)
+        # The other's word that it has taken over may lie unread where this process was paused.
+        self._lease = self.deadlines.after_reading(LEASE, self._lapsed, peer)
         names = self.boxes.eps.names
         estate = Estate(
             time.monotonic_ns() + LEASE, self.watching.revision, list(self.boxes.listed.values()),
@@ -415,7 +416,7 @@
             then()
             return
         call = next(self._calls)
-        self._unheard[call] = peer, self.deadlines.after(HEARD_WITHIN, self._hangs, call), then
+        self._unheard[call] = peer, self.deadlines.after_reading(HEARD_WITHIN, self._hangs, call), then
         peer.tell(do=what, name=name, call=call)
 
     def _hangs(self, call: int) -> None:
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -34,6 +34,8 @@
 GRACE = 50 * MS
 # A bad client is owed its error or its end within this.
 TURNED_OUT = 3 * SECOND
+# How long after its client has left a setup may still go out for it.
+LEFT_FOR = 300 * MS
 # Past this a stand-in's own lateness would be taken for the relay's.
 TOO_LATE = 150 * MS
 # What a killed relay's clients see may come this much before and after the moment noted.
@@ -53,6 +55,7 @@
     "cold_pushed_over",
     "cut_without_move",
     "lines_lost",
+    "sent_on_after_leaving",
     "not_what_a_box_made",
     "ran_twice",
     "declined_after_run",
@@ -274,6 +277,19 @@
                 self._found("lines_lost", call.ended, f"{call.tun}: {call.gaps} gaps, to its client")
             if call.word == "UP":
                 self._open_one(call)
+            elif call.word in ("", "GAVE_UP") and call.how in ("left", "gave up"):
+                self._left(call)
+
+    def _left(self, call: Call) -> None:
+        """It has left while it waited: nobody is there for what goes out now."""
+        for setup in self.setups[call.tun]:
+            late = setup.began - call.ended - self._far(setup.relay, setup.box)
+            if (
+                late > LEFT_FOR + GRACE
+                and not self._stood_still(setup.relay, setup.began, setup.began)
+                and not self._way_broken(setup.relay, setup.box, setup.began, setup.began)
+            ):
+                self._found("sent_on_after_leaving", setup.began, f"{call.tun}: {late // MS} ms after")
 
     def _open_one(self, call: Call) -> None:
         mine = [
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -29,6 +29,7 @@
     until,
 )
 from pytest import MonkeyPatch, approx, mark
+from test_handover import Pair
 from twisted.internet.task import Clock
 
 from cedarledge.net.buffers import Pool
@@ -265,11 +266,15 @@
 # -- a client that leaves while it waits -------------------------------------------------------------
 
 
-class Stopping(Program):
-    """A relay that stops itself at a place; see stopping_relay.py."""
+def stopping(place: str) -> list[str]:
+    """The command of a relay that stops itself at a place; see stopping_relay.py."""
+    return [sys.executable, str(Path(__file__).with_name("stopping_relay.py")),
+            *f"cedarledge.net.{place}".split()]
+
 
+class Stopping(Program):
     def command(self) -> list[str]:
-        return [sys.executable, str(Path(__file__).with_name("stopping_relay.py")), *self.arguments]
+        return stopping(" ".join(self.arguments))
 
 
 def leave(client: Client, abrupt: bool) -> None:
@@ -297,7 +302,7 @@
         place: str, abrupt: bool, tmp_path: Path) -> None:
     """The line waited for the reactor's next turn, and went out in it whatever the client had done since."""
     backend = Backend("a")
-    with Stopping(tmp_path, [backend], f"cedarledge.net.{place}".split()) as relay:
+    with Stopping(tmp_path, [backend], place.split()) as relay:
         before = holds(relay)
         client = asks(relay)
         relay.until_paused()
@@ -403,3 +408,78 @@
         backend.socket.shutdown(2)
         backend.socket.close()
         until(lambda: "probe of a: False" in relay.log.read_text())
+
+
+# -- one process after the other -------------------------------------------------------------------
+
+
+class Steps(Pair):
+    """Processes that stop themselves at a place each; an empty one does not."""
+
+    def __init__(self, tmp: Path, backends: list[Backend], *places: str) -> None:
+        self.places = list(places)
+        super().__init__(tmp, backends)
+
+    def command(self) -> list[str]:
+        place = self.places.pop(0) if self.places else ""
+        return stopping(place) if place else super().command()
+
+
+def holds_together(relay: Steps) -> None:
+    """Whoever is there serves newcomers, and ends as it should."""
+    clients = [relay.client() for _ in range(4)]
+    assert {client.open(str(number), "c=feed,d=3000") for number, client in enumerate(clients)} == {"UP r"}
+    living = [process for process in relay.processes if process.poll() is None]
+    for process in living:
+        process.terminate()
+    assert [client.hear() for client in clients] == ["MOVE"] * 4
+    assert [process.wait(timeout=5) for process in living] == [0] * len(living)
+
+
+STEPS = ["relay Relay open before", "handover Handover take_over after", "clients Listener open before",
+         "clients Listener open after", "handover Handover listen after"]
+
+
+@mark.parametrize("end", ["late", "told to end", "killed"])
+@mark.parametrize("place", STEPS)
+def test_a_new_process_that_stops_or_dies_between_its_steps_costs_nobody(
+        place: str, end: str, tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Steps(tmp_path, [backend], "", place) as relay:
+        until(relay.ready)
+        before = relay.client()
+        assert before.open() == "UP r"
+        relay.start()
+        relay.until_paused()
+        waits = asks(relay, "c=feed,d=3000")
+        if end == "killed":
+            relay.process.kill()
+        elif end == "told to end":
+            relay.process.terminate()
+        else:
+            time.sleep(1.7)  # past the lease
+        relay.go_on()
+        assert waits.hear() in ("UP r", "BUSY")
+        if end == "told to end":
+            assert relay.process.wait(timeout=6) == 0
+        elif end == "late":
+            until(relay.ready)
+        assert before.say("M 1") == "M 1"
+        holds_together(relay)
+
+
+def test_the_lease_ends_as_the_word_that_it_was_taken_lies_unread(tmp_path: Path) -> None:
+    """The old process, paused, found its lease over first, and both said that they serve."""
+    with Steps(tmp_path, [Backend("a")], "", "handover Peer tell before") as relay:
+        until(relay.ready)
+        old = relay.processes[0]
+        relay.start()
+        relay.until_paused()
+        old.send_signal(signal.SIGSTOP)
+        relay.go_on()
+        until(relay.ready)
+        time.sleep(1.7)
+        old.send_signal(signal.SIGCONT)
+        until(lambda: relay.said("the new process serves") or relay.said("did not take over in time"))
+        assert not relay.ready(0) and relay.ready() and not relay.said("did not take over in time")
+        holds_together(relay)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -38,7 +38,7 @@
     def start(self) -> None:
         self.controls.append(free_address())
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "cedarledge", *self.arguments], stderr=self.log.open("ab"),
+            self.command(), stderr=self.log.open("ab"),
             pass_fds=[self.listening.fileno()],
             env=os.environ | {"BALANCER_CONFIG": str(self.path), "BALANCER_CONTROL": self.controls[-1],
                               "BALANCER_LISTEN_FD": str(self.listening.fileno()),
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -94,6 +94,10 @@
     ),
     "a line that never came to the box": ("lines_lost", [call(), setup(gaps=1)]),
     "a line held back on its way to the client": ("lines_lost", [call(held=1), setup()]),
+    "sent on after its client has left": (
+        "sent_on_after_leaving",
+        [call("", answered=-1, ended=SECOND + 100 * MS, began=18 * SECOND), setup(whole=SECOND + 460 * MS)],
+    ),
     "two setups at once": (
         "overlapping_setups",
         [call(), setup(ended=9 * SECOND, word="", answered=-1), setup(1, whole=SECOND + 100 * MS)],
@@ -142,6 +146,10 @@
     "the box ended it": [call(how="cut", ended=5 * SECOND), setup(ended=5 * SECOND, by_box=True)],
     "given up, and answered on the way": [call("GAVE_UP", answered=SECOND + 1220 * MS)],
     "still waiting as the run ends": [call("GAVE_UP", answered=-1, began=19 * SECOND)],
+    "sent on as its client left": [
+        call("", answered=-1, ended=SECOND + 100 * MS, began=19 * SECOND),
+        setup(whole=SECOND + 440 * MS),
+    ],
     "another setup after BUSY": [call(profile=BOOKING), *BUSY_THEN_UP],
     "referenced within its window": [
         call(profile=STATE),
