--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -286,7 +286,8 @@
 
 def asks(relay: Program, names: str = "c=feed,d=1500") -> Client:
     client = relay.client()
-    client.link.sendall(f"OPEN {time.monotonic_ns():x} k {names}\r\n".encode())
+    client.id = f"{time.monotonic_ns():x}"
+    client.link.sendall(f"OPEN {client.id} k {names}\r\n".encode())
     return client
 
 
@@ -410,6 +411,67 @@
         until(lambda: "probe of a: False" in relay.log.read_text())
 
 
+# -- repeated attempts -----------------------------------------------------------------------------
+
+EFFECTS = SETTINGS | {"profiles": [
+    *SETTINGS["profiles"], SETTINGS["profiles"][0] | {"name": "mark", "semantics": "token"}]}
+# What its backend says as the setup's time is over, and who may be set up once more behind it.
+LATE_WORDS = {"UP late": (), "BUSY": ("feed", "bill", "mark"), "ERR": ("feed", "mark"),
+              "WHAT": ("feed", "mark"), "reset": ("feed", "mark"), "ERR|UP late": ("feed", "mark"),
+              "BUSY|BUSY|UP late": ("feed", "bill", "mark")}
+
+
+def late_word(relay: Program, word: str, name: str, beside: str = "") -> tuple[Client, list[Backend]]:
+    """The client, the backend that has its line, and the other one, as the relay goes on."""
+    until(lambda: relay.discovery.calls)
+    client = asks(relay, f"c={name},d=1500")
+    relay.until_paused()
+    until(lambda: any(backend.heads for backend in relay.backends))
+    first, other = sorted(relay.backends, key=lambda backend: not backend.heads)
+    other.modes = ["UP r"]
+    if word == "reset":
+        reset(first.last, first.last.makefile("rb"))
+    else:
+        first.last.sendall(b"".join(part.encode() + b"\r\n" for part in word.split("|")))
+    if beside == "drains":
+        relay.discovery.tell(other.entry("draining"))
+    elif beside:
+        leave(client, abrupt=beside == "resets")
+    time.sleep(0.4)  # past the setup's time-out, within the client's wait
+    relay.go_on()
+    return client, [first, other]
+
+
+WRITTEN = "backends SetupLink resumeProducing after"
+
+
+@mark.parametrize("name", ["feed", "bill", "mark"])
+@mark.parametrize("word", LATE_WORDS)
+def test_a_word_that_comes_as_the_time_is_over_counts_for_what_it_says(
+        word: str, name: str, tmp_path: Path) -> None:
+    with Stopping(tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(),
+                  settings=EFFECTS) as relay:
+        client, (first, other) = late_word(relay, word, name)
+        again = name in LATE_WORDS[word]
+        assert client.hear() == ("UP late" if word.startswith("UP") else "UP r" if again else "ERR")
+        assert (len(first.heads), len(other.heads)) == (1, again)
+        if word.startswith("UP") or again:
+            assert client.say("M 1") == "M 1", "and nothing more of the first one's"
+
+
+@mark.parametrize("beside", ["drains", "leaves", "resets"])
+@mark.parametrize("word", ["BUSY", "reset"])
+def test_with_the_others_drain_or_the_clients_end_in_the_same_turn_nothing_more_goes_out(
+        word: str, beside: str, tmp_path: Path) -> None:
+    with Stopping(tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(),
+                  settings=EFFECTS) as relay:
+        client, (first, other) = late_word(relay, word, "feed", beside)
+        if beside == "drains":
+            assert client.hear() in ("BUSY", "ERR") and client.hear() == ""
+        until(lambda: relay.answers())
+        time.sleep(0.3)
+        assert (len(first.heads), len(other.heads)) == (1, 0)
+
 # -- one process after the other -------------------------------------------------------------------
 
 
