The list's other crossings are forced: reset behind an answer, SIGHUP, hung connect

All sound after the mend of silent watches: an answer right before a reset, asked and pushed; SIGHUP while the watch is silent; a connect that never comes up; a whole list without a member that has tunnels.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,6 +8,7 @@
 import socket
 import sys
 import time
+from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
 from typing import IO
@@ -113,6 +114,90 @@
         assert relay.log.read_text().count("WARNING discovery") == 1, "once, not at each try"
 
 
+class Brief(Discovery):
+    """Resets each connection right behind its answer."""
+
+    def answer(self, link: socket.socket, lines: IO[bytes]) -> None:
+        with suppress(OSError):
+            super().answer(link, Once(lines))
+        reset(link, lines)
+
+
+class Once:
+    """The first call of a connection."""
+
+    def __init__(self, lines: IO[bytes]) -> None:
+        self.lines = lines
+
+    def __iter__(self) -> Iterator[bytes]:
+        for line in self.lines:
+            yield line
+            if line.startswith(b"GET"):
+                return
+
+
+@mark.parametrize("settings", [SETTINGS, PUSHED], ids=["asked", "pushed"])
+def test_an_answer_right_before_a_reset_is_followed(settings: dict, tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends, settings=settings) as relay:
+        brief = Brief([backend.entry() for backend in backends])
+        relay.reload(discovery=brief.address)
+        until(lambda: len(brief.answered) >= 1 and len(brief.calls) >= 2)
+        brief.tell(backends[0].entry("draining"))
+        until(lambda: len(brief.answered) >= 2)
+        time.sleep(0.05)
+        assert not keys_at(relay, backends[0])
+
+
+def test_sighup_while_the_watch_is_silent_follows_the_other_address(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends) as relay:
+        until(lambda: relay.discovery.calls)
+        relay.discovery.fall_silent(CHANGE[:-9])
+        relay.discovery.tell(backends[1].entry("draining"))
+        other = Discovery([backends[0].entry("draining"), backends[1].entry()])
+        time.sleep(0.2)
+        relay.reload(discovery=other.address)
+        until(lambda: len(other.calls) == 2, 1)
+        assert not keys_at(relay, backends[0])
+        time.sleep(3)  # past all that was set for the call before
+        assert not keys_at(relay, backends[0]) and len(relay.discovery.calls) == 1
+
+
+def test_a_connect_to_discovery_that_hangs_is_given_up_and_made_again(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends) as relay, socket.socket() as full:
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        address = full.getsockname()
+        held = [socket.create_connection(address)]
+        for _ in range(3):  # more than the system's queue takes
+            held.append(socket.socket())
+            held[-1].setblocking(False)
+            held[-1].connect_ex(address)
+        relay.reload(discovery="{}:{}".format(*address))
+        until(lambda: "WARNING discovery: " in relay.log.read_text(), 4)
+        assert relay.client().open() == "UP r", "by the list that it has"
+        relay.reload()
+        relay.discovery.members = [backends[0].entry("draining"), backends[1].entry()]
+        until(lambda: len(relay.discovery.calls) == 3)  # the first, the whole list, and the next
+        assert not keys_at(relay, backends[0])
+        for link in held:
+            link.close()
+
+
+def test_a_whole_list_without_a_member_leaves_its_tunnels_and_sends_it_nothing_new(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends) as relay:
+        clients = [relay.client() for _ in range(8)]
+        assert {client.open(str(number)) for number, client in enumerate(clients)} == {"UP r"}
+        other = Discovery([backends[1].entry()])
+        relay.reload(discovery=other.address)
+        until(lambda: len(other.calls) == 2, 2)
+        assert backends[0].opened and not keys_at(relay, backends[0])
+        assert [client.say("M 1") for client in clients] == ["M 1"] * 8
+
+
 # -- the end, and signals --------------------------------------------------------------------------
 
 
