Paused processes move nobody; a watch silent right after a loss is opened anew too

A watch whose call before had been lost counted as in doubt, and its silence waited for the module's 2 to 6 s (Watch._in_doubt, now two facts). 'no answer in time' is logged where a call was given up, not an address.

--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -69,10 +69,9 @@
     except (ValueError, RecursionError) as why:
         raise BadConfigError(f"{path}: not JSON: {why}") from why
     try:
-        check_settings(told["settings"])
         # The platform's word to this process goes before the file's, which two processes may share.
         control = environ.get("BALANCER_CONTROL") or told.get("control")
-        return StartingOrders(
+        orders = StartingOrders(
             name=str(told["name"]),
             listen=address_of(told["listen"]),
             discovery=address_of(told["discovery"]),
@@ -81,8 +80,10 @@
             seed=int(told["seed"], 16),
             sockets=int(told["limits"]["sockets"]),
             known=dict(told["known"]),
-            settings=dict(told["settings"]),
+            settings=told["settings"],
         )
+        check_settings(orders.settings)
+        return orders
     except KeyError as why:
         raise BadConfigError(f"{path}: {why} is missing") from why
     except (TypeError, ValueError, AttributeError) as why:
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -118,7 +118,7 @@
 
     def came_up(self) -> None:
         self.control.lives(self)
-        self.due_in(WHOLE_WITHIN, self._too_late)
+        self.due_in(WHOLE_WITHIN, self._too_late, reads_first=True)
 
     def _too_late(self) -> None:
         self.answer(Answer(408, "no whole call in time"))
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -7,9 +7,9 @@
 from typing import Any, NamedTuple
 
 from loguru import logger
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectingCancelledError, ConnectionDone
 from twisted.internet.interfaces import IReactorTCP
 from twisted.internet.protocol import Protocol
 from twisted.python.failure import Failure
@@ -237,7 +237,8 @@
         self._call: Deferred | None = None
         self._due: Deadline | None = None
         self._asked_at = self._wait = 0
-        self._in_doubt = False  # the call before was silent or lost, and nothing has come since
+        # Of the calls since the last answer: whether one was silent, and whether one was lost.
+        self._was_silent = self._was_lost = False
 
     def start(self) -> None:
         if self._call is None:
@@ -293,11 +294,11 @@
         return link.ask("{}:{}".format(*self._address), target)
 
     def _hung(self) -> None:
-        if self._link is not None and self._revision is not None and not self._in_doubt:
+        if self._link is not None and self._revision is not None and not self._was_silent:
             # A watch that says nothing past its wait is broken, which is no sign of a discovery in trouble.
             # What it has missed is about to count as told, so it is opened anew at once, though only once.
             logger.warning("discovery: the watch is silent, opened anew")
-            self._in_doubt = True
+            self._was_silent = True
             self.let_go()
             self._ask()
         elif self._call is not None:
@@ -315,7 +316,7 @@
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
             raise HttpError(f"not a list: {why!r}") from why
         self._deadlines.cancel(self._due)
-        self._in_doubt = False
+        self._was_silent = self._was_lost = False
         early = self._deadlines.now() - self._asked_at < self._wait // 2
         if newer or not (members or early):
             self._revision = revision
@@ -336,13 +337,14 @@
         if self._call is None:
             # By let_go, whose doing this is.
             return
-        known, self._in_doubt = self._pushed and self._in_doubt, True
+        known, self._was_lost = self._pushed and self._was_lost, True
         self._call = None
         self.let_go()
         if self._pushed:
             self._due = self._deadlines.after(AGAIN, self._ask)
         if not known:  # it would be told ten times a second
-            logger.warning("discovery: {}", why.getErrorMessage() or "no answer in time")
+            given_up = why.check(CancelledError, ConnectingCancelledError)
+            logger.warning("discovery: {}", "no answer in time" if given_up else why.getErrorMessage())
             self._failed()
 
     def _drop(self) -> None:
--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -60,7 +60,8 @@
         self._waiting[echo] = since
         if not self._looks:
             self._looks = True
-            self.deadlines.after(self._first, self._look)
+            # Where this process was paused the answers lie unread, and all that it holds would be moved.
+            self.deadlines.after_reading(self._first, self._look)
 
     def waits_no_longer(self, echo: Echo) -> None:
         self._waiting.pop(echo, None)
@@ -73,7 +74,7 @@
             del self._waiting[echo]
         for since in self._waiting.values():
             self._looks = True
-            self.deadlines.after(since + self._first - now, self._look)
+            self.deadlines.after_reading(since + self._first - now, self._look)
             break
         for echo in due:
             # One that is told of first may have ended another since.
@@ -121,7 +122,7 @@
             self._echoes.tell_silent(self._tun)
             return
         # A hang is told while it grows: a second later its clients have lost that second.
-        self._due = self._echoes.deadlines.after(min(age, TELL_EVERY, SILENT - age), self.overdue)
+        self._due = self._echoes.deadlines.after_reading(min(age, TELL_EVERY, SILENT - age), self.overdue)
         self._echoes.delays.took(self._ep, age)
 
     def close(self) -> None:
--- a/cedarledge/net/service.py
+++ b/cedarledge/net/service.py
@@ -62,7 +62,7 @@
         logger.info("out of service: {} tunnels are sent away", self.tunnels.table.used)
         if not self.ending:
             self.module.tell(self.module.balancer.stopping, EMPTY_WITHIN)
-            self._sweep = self.deadlines.after(ANSWER_ALL_AFTER, self.tunnels.end_all)
+            self._sweep = self.deadlines.after_reading(ANSWER_ALL_AFTER, self.tunnels.end_all)
 
     def come_in(self) -> None:
         if not self.front.away:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -168,9 +168,11 @@
         echo.answered()
     lines[-1].close()
     clock.advance(SILENT / SECOND)
+    clock.advance(0.002)  # a leap of the clock is a pause, after which what has come is read first
     assert silent == [2998]
     lines[-2].close()
     clock.advance(SILENT / SECOND)
+    clock.advance(0.002)  # a leap of the clock is a pause, after which what has come is read first
     assert not len(deadlines)
     assert silent == [2998]
 
