--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
+from types import SimpleNamespace
 from typing import IO
 
 from helpers import (
@@ -30,13 +31,16 @@
     until,
 )
 from pytest import MonkeyPatch, approx, mark
+from test_control import free_address
 from test_handover import Pair
 from twisted.internet.task import Clock
 
 from cedarledge.net.buffers import Pool
 from cedarledge.net.complaints import Complaints
+from cedarledge.net.control import WHOLE_WITHIN
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.links import LINGER, Link, Means
+from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
 from cedarledge.terms import ListForm, Outcome
 
@@ -673,3 +677,50 @@
         until(lambda: relay.said("the new process serves") or relay.said("did not take over in time"))
         assert not relay.ready(0) and relay.ready() and not relay.said("did not take over in time")
         holds_together(relay)
+
+
+def test_the_other_processs_word_that_it_heard_a_call_may_lie_unread(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Steps(tmp_path, backends, "", "handover Handover pass_on after") as relay:
+        until(relay.ready)
+        assert relay.next() < 6
+        host, _, port = relay.controls[-1].rpartition(":")
+        with socket.create_connection((host, int(port)), timeout=5) as caller:
+            caller.sendall(b"POST /control/backends/a/offline HTTP/1.1\r\nHost: x\r\n\r\n")
+            relay.until_paused()
+            time.sleep(0.7)  # past what the other has for its word, which has come
+            relay.go_on()
+            assert caller.recv(100).startswith(b"HTTP/1.1 2")
+        assert not relay.said("did not say that it heard")
+        assert not keys_at(relay, backends[0])
+
+
+def test_an_operators_call_that_came_while_the_process_was_paused_is_answered(tmp_path: Path) -> None:
+    control = free_address()
+    host, _, port = control.rpartition(":")
+    with Program(tmp_path, [Backend("a")], control=control) as relay, socket.create_connection(
+            (host, int(port)), timeout=5) as caller:
+        caller.sendall(b"GET /control/re")
+        until(relay.answers)
+        relay.pause()
+        caller.sendall(b"ady HTTP/1.1\r\nHost: x\r\n\r\n")
+        time.sleep(WHOLE_WITHIN / SECOND + 0.3)
+        relay.go_on()
+        assert caller.recv(100).startswith(b"HTTP/1.1 200")
+
+
+def test_the_sweep_of_an_operators_drain_reads_first() -> None:
+    clock, swept = Clock(), []
+
+    def now() -> int:
+        return round(clock.seconds() * SECOND)
+
+    deadlines = Deadlines(clock, now)
+    module = SimpleNamespace(tell=lambda *_: None, balancer=SimpleNamespace(stopping=None))
+    tunnels = SimpleNamespace(table=SimpleNamespace(used=1), end_all=lambda: swept.append(now()))
+    service = Service(deadlines, module, None, tunnels, None, SimpleNamespace(away=False))
+    service.go_out()
+    clock.advance(5)
+    assert not swept, "answers may lie unread"
+    clock.advance(0.002)
+    assert swept
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -278,3 +278,21 @@
     scene.reactor.advance(0)
     assert not module.in_flight and not module.tuns and not any(
         member.open or member.pending for member in module.members.values())
+
+
+def test_a_module_that_fails_as_all_are_ended_leaves_nobody_without_an_answer() -> None:
+    """Who waited was answered by the first failure, and the sweep broke off at the next of them."""
+    scene = Scene()
+    for ep in range(BOXES):
+        scene.reports(ep, 0.1)
+    scene.reactor.advance(4)  # so they wait for a look
+    for _ in range(3):
+        scene.comes("a")
+
+    def fails(*_: Any) -> None:
+        raise RuntimeError("on purpose")
+
+    scene.module.balancer.client_gone = fails
+    scene.tunnels.end_all()
+    scene.reactor.advance(0.01)
+    assert [client.said for client in scene.clients] == [["ERR"]] * 3
