Settings: only null stands for what is left out; zero, empty and false are refused again

Seen on reading the change once more: check_settings took any empty value for one that is left out (prices 0 or '', domain false, cross_zone false or ''), where the check of before refused prices and crossings of the wrong kind: looser. A whole number past 1e308 ended the start in a traceback (OverflowError, which nothing caught). At fault: 'or 0' and 'or {}' in words.check_settings. Only None is passed over now, and a figure has a bound of 1e15.

--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from collections.abc import Mapping
 from functools import lru_cache
 from hashlib import blake2b
@@ -68,6 +67,8 @@
 OPTIONAL = ("allowed.conn_idle", "allowed.max_retry_after", "allowed.most_setups", "safety.ask_every",
             "overage_credit")
 TABLES = ("allowed", "safety", "domain", "prices", "load_report")
+# No figure comes near it: a day in microseconds is 9e10. Past it whole numbers would be no floats.
+MOST = 1e15
 LISTS = ("profiles", "tenants", "dcs", "host_types", "domain.message_aim", "domain.tenant_quota_connections")
 
 
@@ -78,12 +79,15 @@
     return value
 
 
-def _check_number(value: Any, place: str, most: float = math.inf) -> None:
-    # A bool is a number to Python, and NaN is within no bounds.
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most or (
-            math.isinf(value)):
-        bound = "a number from 0" if math.isinf(most) else f"a number from 0 to {most:g}"
-        raise ValueError(f"settings.{place}: expected {bound}, got {value!r}")
+def _check_number(value: Any, place: str, most: float = MOST) -> None:
+    # A bool is a number to Python; NaN is within no bounds.
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 <= value <= most:
+        raise ValueError(f"settings.{place}: expected a number from 0 to {most:g}, got {repr(value)[:40]}")
+
+
+def _check_if_there(value: Any, place: str, most: float = MOST) -> None:
+    if value is not None:
+        _check_number(value, place, most)
 
 
 def check_settings(settings: Mapping[str, Any]) -> None:
@@ -91,7 +95,7 @@
     if not isinstance(settings, Mapping):
         raise ValueError(f"settings: expected names with values, got {settings!r}")
     for place in TABLES:
-        if not isinstance(_at(settings, place) or {}, Mapping):
+        if not isinstance(_at(settings, place), Mapping | None):
             raise ValueError(f"settings.{place}: expected names with values, got {_at(settings, place)!r}")
     for place in LISTS:
         if not isinstance(_at(settings, place), list | None):
@@ -102,7 +106,7 @@
     zone, zones = settings.get("zone"), settings.get("dcs")
     if zone is not None and zones is not None and zone not in zones:
         raise ValueError(f"settings.zone: {zone!r} is none of settings.dcs: {', '.join(map(str, zones))}")
-    _check_number((settings.get("prices") or {}).get("cross_zone") or 0, "prices.cross_zone", 1)
+    _check_if_there(_at(settings, "prices.cross_zone"), "prices.cross_zone", 1)
     groups = _at(settings, "domain.groups")
     if groups is not None and not isinstance(groups, bool):
         # The word "false" would read as true, and one relay would give way sooner than all the others.
@@ -110,7 +114,7 @@
     for place in NEEDED:
         _check_number(_at(settings, place), place)
     for place in OPTIONAL:
-        _check_number(_at(settings, place) or 0, place)
+        _check_if_there(_at(settings, place), place)
     if not settings.get("profiles"):
         raise ValueError("settings.profiles: expected one at least")
     for kind, needed in (("profiles", NEEDED_OF_PROFILES), ("tenants", ())):
@@ -119,10 +123,10 @@
                 raise ValueError(f"settings.{kind}[{number}]: expected values and a name, got {row!r}")
             for name in needed:
                 _check_number(row.get(name), f"{kind}[{number}].{name}")
-            _check_number(row.get("window") or 0, f"{kind}[{number}].window")
+            _check_if_there(row.get("window"), f"{kind}[{number}].window")
     for place in ("domain.message_aim", "domain.tenant_quota_connections"):
         for number, value in enumerate(_at(settings, place) or ()):
-            _check_number(value or 0, f"{place}[{number}]")
+            _check_if_there(value, f"{place}[{number}]")
 
 
 def site_facts(settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]) -> SiteFacts:
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -138,7 +138,13 @@
             ("settings.prices.cross_zone", {"prices": {"cross_zone": "dear"}}),
             ("settings.prices.cross_zone", {"prices": {"cross_zone": 1.5}}),
             ("settings.prices.cross_zone", {"prices": {"cross_zone": True}}),
-            ("settings.prices", {"prices": 0.1}), ("settings.zone", {"zone": "nowhere"}),
+            ("settings.prices", {"prices": 0.1}), ("settings.prices", {"prices": 0}),
+            ("settings.prices", {"prices": ""}), ("settings.domain", {"domain": False}),
+            ("settings.prices.cross_zone", {"prices": {"cross_zone": False}}),
+            ("settings.prices.cross_zone", {"prices": {"cross_zone": ""}}),
+            ("settings.overage_credit", {"overage_credit": []}),
+            ("settings.overage_credit", {"overage_credit": 10**400}),
+            ("settings.zone", {"zone": "nowhere"}),
             ("settings.domain.groups", {"domain": {"groups": "false"}}),
             ("settings.group_size", {"group_size": 0}), ("settings.group_size", {"group_size": "4"})):
         try:
