Tests' relays listen below the ports that the system deals out; killed runs explained

Seen: two of five runs of the crossings side by side failed once each: the silent watch in mid-body (its drain followed, but by nobody's reopened watch), and the answer before a reset (no call within 8 s). Checked: twelve relays of runs that I had ended by signal, of 01:58 and 02:02, still ran and asked at discovery ports of theirs that new stand-ins then drew: a call of theirs counted as the relay's, which had not made its own yet. And Program chose its relay's port from those that the system deals out for connections, closed it, and took a relay that could not open it for one that had started. Ruled out: the order of RST and data (the data is read first, epoll has both). Now ports come from below that range, another start for each process, and a relay that ends in its start fails the test with its log. Whether the second verdict had that cause is likely and not shown.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -15,7 +15,7 @@
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import count, cycle
 from pathlib import Path
 from typing import IO
 
@@ -423,6 +423,21 @@
         return self.say(f"OPEN {self.id} {key} {names}")
 
 
+# Below those that the system deals out: between its choice and its opening by the relay, any connection of a
+# test beside this one could take it, and the relay would not start. Runs side by side begin at different ones.
+PORTS = cycle(range(10_000, 32_000))
+for _ in range(os.getpid() * 977 % 22_000):
+    next(PORTS)
+
+
+def free_port() -> int:
+    """One that nobody listens at."""
+    for port in PORTS:
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise AssertionError("it goes round")
+
+
 class Program:
     """The relay, started as a program."""
 
@@ -431,8 +446,7 @@
         self.backends = backends
         self.arguments = arguments
         self.discovery = Discovery([backend.entry() for backend in backends])
-        with socket.create_server(("127.0.0.1", 0)) as free:
-            self.address = free.getsockname()
+        self.address = ("127.0.0.1", free_port())
         told = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": self.discovery.address,
                 "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
                 "known": {"revision": 7, "complete": True, "members": self.discovery.members},
@@ -453,6 +467,7 @@
 
     def __enter__(self) -> Program:
         until(lambda: self.process.poll() is not None or self.answers())
+        assert self.process.poll() is None, self.log.read_text()
         return self
 
     def answers(self) -> bool:
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 
 import hypothesis.strategies as st
-from helpers import Backend, Program, until
+from helpers import Backend, Program, free_port, until
 from hypothesis import given, settings
 from pytest import mark, raises
 
@@ -22,8 +22,7 @@
 
 
 def free_address() -> str:
-    with socket.create_server(("127.0.0.1", 0)) as free:
-        return "{}:{}".format(*free.getsockname())
+    return f"127.0.0.1:{free_port()}"
 
 
 class Caller:
