--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -423,8 +423,8 @@
         return self.say(f"OPEN {self.id} {key} {names}")
 
 
-# Below those that the system deals out: between its choice and its opening by the relay, any connection of a
-# test beside this one could take it, and the relay would not start. Runs side by side begin at different ones.
+# Below those that the system deals out: between its choice and its opening by the relay any connection of a
+# test beside this one could take it, and the relay would not start. Runs side by side begin elsewhere.
 PORTS = cycle(range(10_000, 32_000))
 for _ in range(os.getpid() * 977 % 22_000):
     next(PORTS)
