--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterator
 from contextlib import suppress
 from pathlib import Path
+from threading import Event
 from types import SimpleNamespace
 from typing import IO
 
@@ -474,6 +475,121 @@
         assert heads == 6, f"{heads - 6} of 400 were sent on"
 
 
+class Withholding(Backend):
+    """Answers no probe until it is let."""
+
+    def __init__(self, name: str) -> None:
+        self.asked, self.let = Event(), Event()
+        super().__init__(name)
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        if lines.peek(1).startswith(b"STATS"):
+            self.asked.set()
+            self.let.wait(5)
+        super().talk(link, lines)
+
+
+def test_who_leaves_during_a_look_is_not_sent_on(tmp_path: Path) -> None:
+    backend = Withholding("a")
+    with Program(tmp_path, [backend], settings=UNHURRIED) as relay:
+        client = asks(relay)
+        assert backend.asked.wait(5)
+        leave(client, abrupt=False)
+        until(relay.answers)  # so its end has been read
+        backend.let.set()
+        assert relay.client().open() == "UP r"
+        time.sleep(0.35)
+        assert len(backend.heads) == 1
+
+
+def test_who_leaves_while_a_backend_hangs_is_not_set_up_at_the_other(tmp_path: Path) -> None:
+    backends = [Backend("a", "hang"), Backend("b", "hang")]
+    with Program(tmp_path, backends, settings=UNHURRIED) as relay:
+        for abrupt in (False, True):
+            before = sum(len(backend.heads) for backend in backends)
+            client = asks(relay)
+            until(lambda before=before: sum(len(backend.heads) for backend in backends) > before)
+            leave(client, abrupt)
+            time.sleep(1)  # past the time of the setup that hung
+            assert sum(len(backend.heads) for backend in backends) == before + 1
+
+
+@mark.parametrize("leaves", [True, False])
+def test_who_leaves_during_a_connect_that_comes_up_late_is_not_sent_on(leaves: bool, tmp_path: Path) -> None:
+    """And who stays is: the system makes the connection a second later."""
+    told = UNHURRIED | {"allowed": UNHURRIED["allowed"] | {"probes": False},
+                        "profiles": [row | {"setup_goal": 3_000_000} for row in UNHURRIED["profiles"]]}
+    backend = Backend("a")
+    with socket.socket() as late:
+        late.bind(("127.0.0.1", 0))
+        late.listen(0)
+        fillers = [socket.socket() for _ in range(3)]  # more than the system's queue takes
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(late.getsockname())
+        backend.address = "{}:{}".format(*late.getsockname())
+        with Program(tmp_path, [backend], settings=told) as relay:
+            client = asks(relay)
+            time.sleep(0.2)
+            if leaves:
+                leave(client, abrupt=False)
+            late.settimeout(2)
+            came = b""
+            with suppress(TimeoutError):
+                while not came:
+                    link, _ = late.accept()
+                    link.settimeout(0.3)
+                    with suppress(TimeoutError):
+                        came += link.recv(100)
+            assert came.startswith(b"OPEN") is not leaves
+        for filler in fillers:
+            filler.close()
+
+
+def test_who_leaves_as_the_process_ends_or_hands_over_is_not_sent_on(tmp_path: Path) -> None:
+    backend = Backend("a")
+    with Steps(tmp_path, [backend], "", "clients Listener open before") as relay:
+        until(relay.ready)
+        relay.start()
+        relay.until_paused()
+        for abrupt in (False, True):
+            leave(asks(relay), abrupt)  # in the queue that both share
+        time.sleep(0.35)
+        relay.go_on()
+        until(relay.ready)
+        relay.processes[0].terminate()
+        assert relay.processes[0].wait(timeout=5) == 0
+        relay.process.terminate()
+        until(lambda: relay.log.read_text().count("stops within") == 2)
+        relay.pause()
+        for abrupt in (False, True):
+            leave(asks(relay), abrupt)
+        time.sleep(0.35)
+        relay.go_on()
+        assert relay.process.wait(timeout=5) == 0
+        assert not backend.heads
+
+
+def test_who_is_moved_comes_again_and_leaves_is_not_sent_on_later(tmp_path: Path) -> None:
+    backends = [Backend("a"), Backend("b")]
+    with Program(tmp_path, backends, settings=UNHURRIED) as relay:
+        clients = [relay.client() for _ in range(60)]
+        assert {client.open(str(number)) for number, client in enumerate(clients)} == {"UP r"}
+        relay.discovery.tell(backends[0].entry("draining"))
+        gone = 0
+        for client in clients:
+            client.link.settimeout(0.1)
+            with suppress(TimeoutError):
+                while client.hear() == "MOVE":
+                    gone += 1
+                    leave(asks(relay), abrupt=gone % 2 > 0)
+        assert gone > 10
+        time.sleep(0.35)
+        heads = sum(len(backend.heads) for backend in backends)
+        time.sleep(1)
+        assert sum(len(backend.heads) for backend in backends) == heads
+
+
 def test_a_look_that_nobody_waits_for_any_more_harms_no_member() -> None:
     """Its client had left; the next look's end took the member for one that did not answer in time."""
     ledger = fleet(2, cells=1)
