One place each: signals held back, a setup without a tunnel, a watch that begins anew

Seen on reading the change once more: - hold_back was called three times in one start; main calls it now, and run for who comes another way. had its imports unguarded as a console script. - Tunnels._not_sent was a special case beside setup_over, which now tells the module itself where the tunnel has gone. - move_to and go_on_from were the same lines, and what was known of the address before held at the next: a pushed list's new address that failed at once was told nowhere. A test forces that and fails on the code before. - test_net had the same setup on a reactor of its own twice; it has one, and four cases of a reset as the last byte is written beside it. test_customers had a client's end of its own where test_tunnels has one. Left as it is: after_reading at each place that gives up or ends by time. To have all deadlines read first would put off the answers of a relay that is late at each turn.

--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -15,10 +15,6 @@
 
 CAN_NOT_START = 2
 
-if __name__ == "__main__" and sys.argv[1:2] in ([], ["relay"]):
-    # Before all that takes time to import: a relay that is told to end in its first 0.3 s ends as any other.
-    signals.hold_back()
-
 
 def _reader(path: str) -> ReadOperatorFile:
     # Only with a file: it takes msgspec, which the platform's relay does without.
@@ -52,7 +48,6 @@
 
 def start(operator_file: str | None = None) -> int:
     """Runs the relay and gives its exit code; 2 where it could not start, with one line that says why."""
-    signals.hold_back()
     from cedarledge.net.config import BadConfigError, read_orders
     from cedarledge.net.relay import run
 
@@ -66,6 +61,9 @@
 
 
 def main() -> int:
+    if sys.argv[1:2] in ([], ["relay"]):
+        # Before all that takes time to import: told to end in its first 0.3 s, a relay ends as any other.
+        signals.hold_back()
     if len(sys.argv) == 1 and "_CEDARLEDGE_COMPLETE" not in os.environ:
         return start()
     try:
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -248,9 +248,8 @@
         """Follows the list at another address from now on, and from the whole list on: whether revisions
         go on there is not known, and a change that neither place tells would be missed for good."""
         if address != self._address:
-            self.let_go()
-            self._address, self._revision = address, None
-            self._ask()
+            self._address = address
+            self.go_on_from(None)
 
     @property
     def revision(self) -> int | None:
@@ -261,6 +260,7 @@
         """Another process has followed the list up to there."""
         self.let_go()
         self._revision = revision
+        self._was_silent = self._was_lost = False  # what was heard before says nothing of who is asked now
         self._ask()
 
     def let_go(self) -> None:
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -92,14 +92,7 @@
             tunnel.setup = self.backends.set_up(tun, ep, self.boxes.addresses[ep], tunnel.opening.head,
                                                 timeout, connect_within)
         except FullError:
-            self.deadlines.after(0, self._not_sent, tun, ep)
-
-    def _not_sent(self, tun: int, ep: int) -> None:
-        if self.table.get(tun) is not None:
-            self.setup_over(tun, ep, Outcome.NOT_SENT, 0, None, False)
-        else:
-            # Its client has left since. The module still counts the setup, and would for good.
-            self.module.tell(self.module.balancer.setup_ended, tun, ep, True, Outcome.NOT_SENT, 0, None)
+            self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
 
     def decline(self, tun: int, come_back: int) -> None:
         self.table.get(tun).client.decline(come_back)
@@ -263,6 +256,8 @@
                    abrupt: bool) -> None:
         tunnel = self.table.get(tun)
         if tunnel is None:
+            # No slot was found for it, and its client has left since. The module counts it still.
+            self.module.tell(self.module.balancer.setup_ended, tun, ep, True, outcome, took, report)
             return
         logger.debug("tunnel {} at {}: {} after {} ms, up {}", tun, self.boxes.eps.names[ep], outcome.name,
                      took // MS, tunnel.up)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,7 @@
     Discovery,
     Program,
     fleet,
+    free_port,
     http,
     listed,
     reset,
@@ -163,6 +164,15 @@
         assert [client.say("M 3") for client in clients] == ["M 3"] * 5
 
 
+def test_an_address_that_fails_is_told_though_the_one_before_had_failed_too(tmp_path: Path) -> None:
+    with Program(tmp_path, [Backend("a")], settings=PUSHED) as relay:
+        until(lambda: relay.discovery.calls)
+        relay.discovery.go_down()
+        until(lambda: relay.log.read_text().count("WARNING discovery") == 1)
+        relay.reload(discovery=f"127.0.0.1:{free_port()}")
+        until(lambda: relay.log.read_text().count("WARNING discovery") == 2)
+
+
 class Brief(Discovery):
     """Resets each connection right behind its answer."""
 
@@ -281,9 +291,10 @@
     return relay.process.returncode
 
 
-def test_told_to_end_in_its_start_a_relay_ends_as_any_other(tmp_path: Path) -> None:
+@mark.parametrize("arguments", [[], ["relay"]])
+def test_told_to_end_in_its_start_a_relay_ends_as_any_other(arguments: list[str], tmp_path: Path) -> None:
     """Until the reactor ran, SIGTERM had its default: the process was ended by it, as in a crash."""
-    with Held(tmp_path, [Backend("a")]) as relay:
+    with Held(tmp_path, [Backend("a")], arguments) as relay:
         for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGTERM, signal.SIGHUP):
             relay.process.send_signal(number)
         relay.give()
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import hypothesis.strategies as st
+import test_tunnels
 from helpers import SECOND, SETTINGS, Backend, Program
 from hypothesis import given, settings
 from loguru import logger
@@ -54,22 +55,8 @@
         node[place[-1]] = value
 
 
-class Client:
-    """A seams.ClientEnd that counts its answers."""
-
-    transport = None
-
-    def __init__(self) -> None:
-        self.answers = 0
-
-    def peer_has_left(self) -> bool:
-        return False
-
-    def decline(self, come_back: int) -> None:
-        self.answers += 1
-
-    def fail(self) -> None:
-        self.answers += 1
+class Client(test_tunnels.Client):
+    """One that is no bad client."""
 
     def bad_input(self, why: str) -> None:
         raise AssertionError(why)
@@ -105,7 +92,7 @@
     finally:
         logger.remove(heard)
     assert not faults
-    assert [client.answers for client in clients] == [1] * ROUNDS, "nobody takes them, and each hears so once"
+    assert {len(client.said) for client in clients} == {1}, "nobody takes them, and each hears so once"
     assert relay.tunnels.table.used == 0
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,9 +11,12 @@
 from helpers import MS, SECOND, http
 from hypothesis import given, settings
 from loguru import logger
-from pytest import raises
+from pytest import mark, raises
+from twisted.internet.error import ConnectionLost
+from twisted.internet.protocol import Protocol
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
 
 from cedarledge.net.backends import Backends
 from cedarledge.net.buffers import NoBufferError, Pool
@@ -180,15 +183,12 @@
 class Box(StringTransport):
     dataBuffer, _tempDataBuffer = b"", ()  # noqa: N815
 
-    def __init__(self) -> None:
-        super().__init__()
-        self.socket = SimpleNamespace(send=lambda data: self.write(data) or len(data))
-
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """As a socket's."""
 
 
-def test_a_connection_that_came_up_while_the_relay_was_paused_is_not_given_up() -> None:
+def set_up() -> tuple[MemoryReactorClock, list[Outcome]]:
+    """A setup whose connect is under way, and what comes of it."""
     reactor, outcomes = MemoryReactorClock(), []
 
     def now() -> int:
@@ -198,16 +198,27 @@
     means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
     watcher = SimpleNamespace(may_send=lambda *_: True, client_waits=lambda _: 2 * SECOND,
                               client_has_left=lambda _: False,
-                              setup_over=lambda *args: outcomes.append(args))
+                              setup_over=lambda *args: outcomes.append(args[2]))
     backends = Backends(means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND,
                         b"PING")
     backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
-    reactor.advance(1)
-    assert not outcomes, "found late: what has come meanwhile is looked at first"
-    link = reactor.tcpClients[0][2].buildProtocol(None)
-    transport = Box()
+    return reactor, outcomes
+
+
+def comes_up(reactor: MemoryReactorClock, takes: int = 99) -> tuple[Protocol, Box]:
+    """The system takes so many bytes of the line at once; the rest is the transport's."""
+    link, transport = reactor.tcpClients[0][2].buildProtocol(None), Box()
+    transport.socket = SimpleNamespace(send=lambda data: transport.write(data[:takes]) or len(data[:takes]))
     link.makeConnection(transport)
     transport.producer.resumeProducing()  # as a socket's does, once it may be written to
+    return link, transport
+
+
+def test_a_connection_that_came_up_while_the_relay_was_paused_is_not_given_up() -> None:
+    reactor, outcomes = set_up()
+    reactor.advance(1)
+    assert not outcomes, "found late: what has come meanwhile is looked at first"
+    _, transport = comes_up(reactor)
     assert transport.value() == b"OPEN\r\n"
     reactor.advance(0.2)
     assert not outcomes
@@ -215,29 +226,26 @@
 
 def test_an_answer_before_the_line_was_written_is_nobodys() -> None:
     """It was passed on, and the connection broke over it in this program: once-only tunnels ended as run."""
-    reactor, outcomes = MemoryReactorClock(), []
-
-    def now() -> int:
-        return round(reactor.seconds() * SECOND)
-
-    deadlines = Deadlines(reactor, now)
-    means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
-    watcher = SimpleNamespace(may_send=lambda *_: True, client_waits=lambda _: 2 * SECOND,
-                              client_has_left=lambda _: False,
-                              setup_over=lambda *args: outcomes.append(args[2]))
-    backends = Backends(means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND,
-                        b"PING")
-    backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
-    link = reactor.tcpClients[0][2].buildProtocol(None)
-    transport = Box()
-    transport.socket = SimpleNamespace(send=lambda data: 3)  # the rest is the transport's
-    link.makeConnection(transport)
-    transport.producer.resumeProducing()
-    assert transport.value() == b"N\r\n" and transport.producer is not None
+    reactor, outcomes = set_up()
+    link, transport = comes_up(reactor, takes=3)
+    assert transport.value() == b"OPEN\r\n" and transport.producer is not None
     link.dataReceived(b"UP r\r\n")
     assert outcomes == [Outcome.CONNECT_FAILED] and transport.disconnected
 
 
+@mark.parametrize(("takes", "later", "outcome"), [
+    (99, False, Outcome.RESET), (3, True, Outcome.RESET), (5, False, Outcome.CONNECT_FAILED),
+    (0, False, Outcome.CONNECT_FAILED)])
+def test_a_reset_as_the_last_byte_is_written_counts_by_what_the_system_took(
+        takes: int, later: bool, outcome: Outcome) -> None:
+    reactor, outcomes = set_up()
+    link, transport = comes_up(reactor, takes)
+    if later:
+        transport.producer.resumeProducing()  # all of it is taken
+    link.connectionLost(Failure(ConnectionLost()))
+    assert outcomes == [outcome]
+
+
 CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
            b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n")
 
