Answers without end, mute backends, clients that send much, SIGTERM out of service

A copy that does not end what it turns out fails the endless answer (its descriptor stays); one without the limit on lines passes, as each ends by its time.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,7 +35,7 @@
     until,
 )
 from pytest import MonkeyPatch, approx, mark
-from test_control import free_address
+from test_control import call, free_address
 from test_handover import Pair
 from twisted.internet.task import Clock
 
@@ -450,6 +450,17 @@
         relay.__exit__()
 
 
+def test_sigterm_while_out_of_service_ends_as_any_other(tmp_path: Path) -> None:
+    control = free_address()
+    with Program(tmp_path, [Backend("a")], control=control) as relay:
+        clients = [relay.client() for _ in range(6)]
+        assert {client.open(str(number)) for number, client in enumerate(clients)} == {"UP r"}
+        assert call(control, "POST", "/control/out-of-service") == 200
+        relay.ask_to_stop()
+        assert [client.hear() for client in clients] == ["MOVE"] * 6
+        assert ends(relay, 3) == 0
+
+
 class Wire:
     """A transport that takes what it is given to the system in the reactor's next turn, as TCP's does."""
 
@@ -756,6 +767,50 @@
         until(lambda: "probe of a: False" in relay.log.read_text())
 
 
+class Endless(Backend):
+    """Its answer has no end."""
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        if lines.peek(1).startswith(b"OPEN"):
+            self.heads.append(lines.readline().decode().strip())
+            while True:
+                link.sendall(b"z" * 4096)
+        super().talk(link, lines)
+
+
+class Mute(Backend):
+    """Takes what comes and says nothing, not even to a probe."""
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        self.heads += [line.decode().strip() for line in iter(lines.readline, b"")]
+
+
+def pages(relay: Program) -> int:
+    return int(Path(f"/proc/{relay.process.pid}/statm").read_text().split()[1])
+
+
+@mark.parametrize("kind", [Endless, Mute])
+def test_answers_without_end_or_beginning_and_clients_that_send_much_cost_nothing_lasting(
+        kind: type[Backend], tmp_path: Path) -> None:
+    bad, good = kind("a"), Backend("b")
+    with Program(tmp_path, [bad, good], settings=UNHURRIED) as relay:
+        assert relay.client().open(names="c=feed,d=3000") == "UP r"
+        descriptors, before = holds(relay), pages(relay)
+        for number in range(60):
+            client = relay.client()
+            with suppress(OSError):  # it is refused within the first of it
+                client.link.sendall((b"OPEN 1 k c=feed,d=900\r\n" if number % 2 else b"y") * 20_000)
+            leave(client, abrupt=number % 3 == 0)
+        clients = [relay.client() for _ in range(10)]
+        assert {client.open(names="c=feed,d=3000") for client in clients} == {"UP r"}
+        if kind is Endless:
+            assert bad.heads, "it was tried"
+        for client in clients:
+            client.close()
+        until(lambda: holds(relay) <= descriptors)
+        assert pages(relay) - before < 8 << 8, "8 MB in pages of 4 KiB"
+
+
 # -- repeated attempts -----------------------------------------------------------------------------
 
 EFFECTS = UNHURRIED | {"profiles": [
