--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -34,9 +34,8 @@
 
 TICK = 250 * MS
 PROBE_EVERY, PROBE_SELDOM, LOG_EVERY = SECOND, 4 * SECOND, 10 * SECOND
-# The list is one service for all relays: it takes calls in turn, and works on those too that nobody waits for
-# any more. So first calls are spread, over this for each relay that may have started too, and one that failed
-# is not made again before what it stood behind is done.
+# The list's service takes calls in turn, and works on those too that nobody waits for. So first calls are
+# spread, over this for each relay, and one that failed waits until what it stood behind is done.
 LIST_TURN, LIST_AGAIN = 100 * MS, 4 * SECOND
 # Steady probes for each tunnel that comes: more cost a large fleet of relays more than their news is worth.
 PROBES_A_TUNNEL = 2
@@ -232,9 +231,10 @@
 
     def list_changed(self, now: int, form: ListForm, entries: list[Listed]) -> None:
         if form is ListForm.UNAVAILABLE:
-            # Every relay loses the list together: jitter, so that they don't all ask again together.
-            self.list_waits = min(2 * self.list_waits or LIST_AGAIN,
-                                  max(SECOND, self.facts.ask_every or 2 * LIST_AGAIN))
+            # By chance, as all relays lose it together; what a reset watch misses counts after ask_every.
+            most = self.facts.ask_every or 2 * LIST_AGAIN
+            first = max(LIST_TURN, min(LIST_AGAIN, most // 2))
+            self.list_waits = min(2 * self.list_waits or first, max(SECOND, most))
             self.host.wake(int(self.list_waits * (0.5 + self.chance())), LIST_TOKEN)
             return
         if form is not ListForm.RESTORED:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -6,7 +6,7 @@
 from itertools import pairwise
 
 from helpers import MS, SECOND, START, fleet, listed, teach
-from pytest import approx
+from pytest import approx, mark
 
 from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK, digest_of, draw_of
 from cedarledge.terms import ListForm, Outcome, Standing
@@ -110,6 +110,24 @@
     assert len(ledger.watches) == 2
 
 
+@mark.parametrize("every", [200, 1000, 2000, 5000, 10_000])
+def test_a_list_whose_watch_was_reset_is_asked_for_before_what_it_missed_counts(every: int) -> None:
+    """Where settings tell 2 s, a first wait of up to 3 s had drains followed a second too late."""
+    for seed in range(20):
+        ledger = fleet(2, ask_every=every * MS, seed=seed)
+        ledger.run(5 * SECOND)
+        for lost in range(6):
+            asked = len(ledger.watches)
+            ledger.tell(ListForm.UNAVAILABLE)
+            # Where calls go on failing four times as long counts, from when the service is back.
+            ledger.run(every * MS * 3 // 4 if not lost else 4 * max(every * MS, 500 * MS))
+            assert len(ledger.watches) == asked + 1
+        ledger.tell(ListForm.CHANGES)
+        ledger.tell(ListForm.UNAVAILABLE)
+        ledger.run(50 * MS - 1)
+        assert len(ledger.watches) == asked + 1, "and never at once"
+
+
 def test_relays_that_start_together_do_not_ask_for_the_list_together() -> None:
     first = []
     for me in range(40):
