Relays end before they are killed; who speaks before leaving, a silent whole list: mended

Read, and forced by tests that fail without each: - Relay._end_if_empty waited a second for newcomers whatever the deadlines are, and _answer_all had no end: with deadlines of 0.4 s or less, or a peer that does not end its side after its last word, the process was still there as the platform kills it (deadline and 0.7 s). Now newcomers have 0.4 s and the longest deadline, 1 s at most (as before from 0.6 s on), and the process ends 0.5 s after the deadline whoever lingers. - Link.peer_has_left looked at the first unread byte: an end behind a byte more lay hidden, and the line of a client that had left 0.35 s before went out. Any byte from who has only to wait is out of turn and ends it, so it now holds the line back by itself. - Watch._hung took a silent call for the whole list (after SIGHUP) for a failed one, which the module puts off for 2 to 6 s: 10 s in all, where it counts as told after 6. It is made anew at once like a silent watch, once.

--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -294,9 +294,11 @@
         return link.ask("{}:{}".format(*self._address), target)
 
     def _hung(self) -> None:
-        if self._link is not None and self._revision is not None and not self._was_silent:
-            # A watch that says nothing past its wait is broken, which is no sign of a discovery in trouble.
-            # What it has missed is about to count as told, so it is opened anew at once, though only once.
+        if self._link is not None and not self._was_silent:
+            # A call that says nothing past its time is broken, which is no sign of a discovery in trouble:
+            # that fails its calls. What was missed is about to count as told, so it is made anew at once,
+            # though only once. The call for the whole list too: SIGHUP to a silent address was asked again
+            # up to 10 s later.
             logger.warning("discovery: the watch is silent, opened anew")
             self._was_silent = True
             self.let_go()
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -91,14 +91,16 @@
         self.transport.write(line + END)
 
     def peer_has_left(self) -> bool:
-        """Whether its peer has ended it, and that only lies unread: after a pause of this process, or where
-        the reactor comes to another connection first."""
+        """Whether its peer, who has only to wait, has ended it or said more, and that only lies unread: after
+        a pause of this process, or where the reactor comes to another connection first. An end may lie behind
+        what was said, and that is the end of it as well."""
         try:
-            return not self.transport.socket.recv(1, socket.MSG_PEEK)
+            self.transport.socket.recv(1, socket.MSG_PEEK)
         except BlockingIOError:
             return False
         except OSError:
-            return True
+            pass
+        return True
 
     def send_lines(self, lines: list[bytes]) -> bool:
         """Lines that go straight to the system where nothing waits before them: by way of the reactor each
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -47,10 +47,12 @@
 CONTROL_FILES = 28
 # The platform kills a relay no sooner than the longest client timeout, this at most, and a little more after
 # SIGTERM; new connections go on coming for a while.
-LONGEST_STOP, NEWCOMERS_FOR, STOP_LOOK = 3 * SECOND, SECOND, 100 * MS
-# How much of that little more is used, after what part of the time moves that are put off begin, and the part
-# of the tunnels that must have come from another relay of late for that.
-KILL_LATER, LATE, REFUGEES = 300 * MS, 0.65, 0.12
+LONGEST_STOP, STOP_LOOK = 3 * SECOND, 100 * MS
+NEWCOMERS_FOR, NEWCOMERS_MOST = 400 * MS, SECOND
+# How much of that little more is used until all are answered, and how often newcomers are before the end;
+# after what part of the time moves that are put off begin, and the part of the tunnels that must have come
+# from another relay of late for that.
+KILL_LATER, LAST_LOOKS, LATE, REFUGEES = 300 * MS, 2, 0.65, 0.12
 ReadOperatorFile = Callable[[], "OperatorFile"]
 Joins = Callable[["Relay", StartingOrders, "OperatorFile"], None]
 
@@ -120,6 +122,7 @@
         self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.backends,
                                self.front)
         self.handover: Handover | None = None
+        self.ended = False
         self.listeners: list[Hearer] = []
         self.module.start(facts, balancer)
         self.boxes.take_in(ListForm.RESTORED, orders.known["members"])
@@ -208,33 +211,44 @@
         # Relays are restarted one after the other. Where another's clients have just come here it is not back
         # yet, and who is moved now finds nobody, then all come at once: they stay for as long as they can.
         wait, within = 0, self.stop_within * 2 // 3
-        newcomers_until = self.clock() + (0 if self.service.replaced else NEWCOMERS_FOR)
+        # Where clients wait for a few hundred ms this process is killed before a second is over.
+        newcomers_for = 0 if self.service.replaced else min(NEWCOMERS_MOST, NEWCOMERS_FOR + self.stop_within)
         if not self.service.replaced and self.tunnels.refugees.read(self.clock()) > REFUGEES * held:
             wait = int(LATE * self.stop_within)
             within = self.stop_within + KILL_LATER - wait
         self.deadlines.after(wait, self.module.tell, self.module.balancer.stopping, within)
         # Where this process was paused, connections that came meanwhile wait to be accepted, and lines to be
         # read: looked at first, as the end would reset them without an answer.
-        self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, newcomers_until)
-        self.deadlines.after_reading(self.stop_within + KILL_LATER, self._answer_all)
+        self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, self.clock() + newcomers_for)
+        self.deadlines.after_reading(self.stop_within + KILL_LATER, self._answer_all, LAST_LOOKS)
 
     def _end_if_empty(self, earliest: int) -> None:
         if self.means.links.used > len(self.backends.probes) or self.clock() < earliest:
             self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, earliest)
+        else:
+            self._end()
+
+    def _answer_all(self, looks: int) -> None:
+        """What is still held now would be cut off; newcomers likewise. Peers that have had their last word
+        and do not end their side, or a crowd that says nothing whole, must not hold the end up until the
+        platform kills this process."""
+        if not looks:
+            self._end()
+            return
+        self.tunnels.end_all()
+        self.front.turn_away()
+        self.deadlines.after(STOP_LOOK, self._answer_all, looks - 1)
+
+    def _end(self) -> None:
+        if self.ended:
             return
-        logger.info("nothing is held: ends")
+        self.ended = True
+        logger.info("ends, {} connections held", self.means.links.used - len(self.backends.probes))
         self.watching.let_go()
         if self.handover is not None:
             self.handover.end()
         self.means.reactor.stop()
 
-    def _answer_all(self) -> None:
-        """What is still held now would be cut off; newcomers likewise. A crowd that says nothing whole must
-        not hold the end up until the platform kills this process."""
-        self.tunnels.end_all()
-        self.front.turn_away()
-        self.deadlines.after(STOP_LOOK, self._answer_all)
-
 
 def run(orders: StartingOrders, read_operator_file: ReadOperatorFile | None = None,
         balancer: MakeBalancer = Balancer, joins: Joins | None = None) -> int:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -260,6 +260,29 @@
         assert len(relay.discovery.calls) == calls
 
 
+@mark.parametrize("settings", [SETTINGS, PUSHED], ids=["asked", "pushed"])
+def test_a_new_address_that_says_nothing_is_asked_anew_before_what_it_has_counts(
+        settings: dict, tmp_path: Path) -> None:
+    """The silent call for the whole list was taken for a failed one: made again 6 to 10 s after SIGHUP."""
+    backends = [Backend("a"), Backend("b")]
+    unhurried = settings | {"safety": settings["safety"] | {"ask_every": 10_000_000}}
+    with Program(tmp_path, backends, settings=unhurried) as relay:
+        until(lambda: relay.discovery.calls)
+        other = Mum([backends[0].entry("draining"), backends[1].entry()])
+        relay.reload(discovery=other.address)
+        until(lambda: len(other.calls) == 3, 12)  # silence, the whole list, and the next
+        assert other.calls[1][0] - other.calls[0][0] < 4.5, "it counts as told after 6 s"
+        assert not keys_at(relay, backends[0])
+
+
+class Mum(Discovery):
+    """Says nothing on its first connection."""
+
+    def say(self, link: socket.socket, data: bytes) -> None:
+        if len(self.calls) > 1:
+            super().say(link, data)
+
+
 def test_a_connect_to_discovery_that_hangs_is_given_up_and_made_again(tmp_path: Path) -> None:
     backends = [Backend("a"), Backend("b")]
     with Program(tmp_path, backends) as relay, full_queue() as full:
@@ -450,6 +473,19 @@
         relay.__exit__()
 
 
+def test_a_peer_that_keeps_its_side_open_after_its_answer_holds_no_end_up(tmp_path: Path) -> None:
+    """Answered at the last moment it had a second more, and the platform kills the process 0.4 s later."""
+    backends = [Backend("a", "hang"), Backend("b", "hang")]
+    with Program(tmp_path, backends) as relay:
+        client = asks(relay)
+        until(lambda: any(backend.heads for backend in backends))
+        relay.ask_to_stop()
+        start = time.monotonic()
+        assert client.hear() in ("ERR", "BUSY") and client.hear() == ""
+        assert ends(relay) == 0
+        assert time.monotonic() - start < 2.5, "1.5 s and a little more"
+
+
 def test_sigterm_while_out_of_service_ends_as_any_other(tmp_path: Path) -> None:
     control = free_address()
     with Program(tmp_path, [Backend("a")], control=control) as relay:
@@ -543,6 +579,23 @@
         assert relay.client().open() == "UP r"
 
 
+@mark.parametrize("leaves", [True, False])
+def test_who_says_more_before_its_answer_is_not_sent_on_from_then(leaves: bool, tmp_path: Path) -> None:
+    """What it said lay before its end, and hid it: its line went out 0.35 s after it had left."""
+    backend = Backend("a")
+    place = "backends SetupLink came_up before"
+    with Stopping(tmp_path, [backend], place.split(), settings=UNHURRIED) as relay:
+        client = asks(relay)
+        relay.until_paused()
+        client.link.sendall(b"M")
+        if leaves:
+            client.link.shutdown(socket.SHUT_WR)
+        time.sleep(0.35)
+        relay.go_on()
+        assert client.hear() == "ERR" and not backend.heads
+        assert relay.client().open() == "UP r"
+
+
 def test_of_a_storm_of_clients_that_leave_none_is_sent_on_later(tmp_path: Path) -> None:
     """Most of them before their line is read, with it in one packet or behind it, by FIN or by a reset."""
     backends = [Backend(name) for name in "abc"]
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -5,6 +5,7 @@
 import copy
 from collections.abc import Iterator
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 
 import hypothesis.strategies as st
@@ -62,19 +63,23 @@
         raise AssertionError(why)
 
 
-def play(told: dict[str, Any], monkeypatch: MonkeyPatch) -> None:
+def assembled(told: dict[str, Any], monkeypatch: MonkeyPatch) -> tuple[relays.Relay, MemoryReactorClock]:
     """A relay on a clock of its own, with a cold member among warm ones."""
-    faults: list[str] = []
-    logger.remove()
-    heard = logger.add(lambda message: faults.append(str(message)), level="ERROR")
     reactor = MemoryReactorClock()
     monkeypatch.setattr(relays, "steady_clock", lambda: lambda: round((reactor.seconds() + 1e9) * SECOND))
     members = [{"id": f"s-{ep}", "host_port": f"127.0.0.1:{9000 + ep}", "cell": ep % 2, "phase": "up",
                 "up_since_ms": 1_000_000_003_000 * (ep == 2)} for ep in range(len(LOADS))]
+    return relays.Relay(reactor, StartingOrders(
+        "n", ("127.0.0.1", 9), ("127.0.0.1", 8), None, None, 1, 512, {"revision": 1, "members": members},
+        told)), reactor
+
+
+def play(told: dict[str, Any], monkeypatch: MonkeyPatch) -> None:
+    faults: list[str] = []
+    logger.remove()
+    heard = logger.add(lambda message: faults.append(str(message)), level="ERROR")
     try:
-        relay = relays.Relay(reactor, StartingOrders(
-            "n", ("127.0.0.1", 9), ("127.0.0.1", 8), None, None, 1, 512, {"revision": 1, "members": members},
-            told))
+        relay, reactor = assembled(told, monkeypatch)
         rows = [(row["name"], max(1, min(900, int(row["client_timeout"] or 900_000) // 1000)))
                 for row in told["profiles"]]
         clients = []
@@ -136,6 +141,25 @@
         play(told, monkeypatch)
 
 
+@mark.parametrize("held", [0, 1])
+@mark.parametrize("deadline", [1, 100, 400, 1500, 9000])
+def test_a_relay_ends_before_it_is_killed_however_short_its_deadlines(
+        deadline: int, held: int, monkeypatch: MonkeyPatch) -> None:
+    """It waited a second for newcomers where it is killed after 0.8 s, and a second more for whoever had had
+    the last word and did not end its side. Newcomers come for 0.4 s."""
+    told = WHOLE | {"profiles": [row | {"client_timeout": deadline * 1000} for row in WHOLE["profiles"]]}
+    relay, reactor = assembled(told, monkeypatch)
+    for _ in range(held):
+        relay.means.links.take(SimpleNamespace())
+    relay.stop()
+    killed = min(3.0, deadline / 1000) + 0.7
+    spent = 0.0
+    while not reactor.hasStopped and spent < killed:
+        reactor.advance(0.01)
+        spent += 0.01
+    assert 0.4 <= spent < killed - 0.09, "the process has its own end before it"
+
+
 @mark.parametrize("other", [
     {"allowed": {"most_setups": 1, "probes": False, "connect_timeout": 0}, "load_report": None},
     {"membership_mode": "push", "group_size": None, "domain": None, "dcs": None, "zone": None,
