Two hand-over tests force what they waited for: the other's word, a liar that reads first

One slept 0.7 s for the other process's word: it now has that process answer a call first, which takes it two turns, and it reads all that has come in each. Nothing is checked less.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1054,7 +1054,9 @@
         with socket.create_connection((host, int(port)), timeout=5) as caller:
             caller.sendall(b"POST /control/backends/a/offline HTTP/1.1\r\nHost: x\r\n\r\n")
             relay.until_paused()
-            time.sleep(0.7)  # past what the other has for its word, which has come
+            # The other reads all that has come in each of its turns, and takes two for this.
+            assert call(relay.controls[0], "GET", "/control/ready") == 503
+            time.sleep(0.7)  # past what it has for its word, which has come
             relay.go_on()
             assert caller.recv(100).startswith(b"HTTP/1.1 2")
         assert not relay.said("did not say that it heard")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -225,6 +225,14 @@
         assert not backends[0].heads
 
 
+def answer_nonsense(liar: socket.socket) -> None:
+    link, _ = liar.accept()
+    with closing(link), link.makefile("rb") as lines:
+        # Closed over what it has not read it would reset the connection, its own answer with it.
+        lines.readline()
+        link.sendall(line_of(version=VERSION, estate={}))
+
+
 def test_strangers_and_nonsense_on_the_way_between_processes_change_nothing(tmp_path: Path) -> None:
     with pair(tmp_path, Backend("a")) as relay:
         path = own_path(relay.folder, "n0", relay.process.pid)
@@ -243,8 +251,7 @@
         with closing(socket.socket(socket.AF_UNIX)) as liar:
             liar.bind(str(relay.folder / path.name.replace(str(relay.process.pid), "2")))
             liar.listen()
-            threading.Thread(target=lambda: liar.accept()[0].sendall(line_of(version=VERSION, estate={})),
-                             daemon=True).start()
+            threading.Thread(target=answer_nonsense, args=(liar,), daemon=True).start()
             assert relay.next() < 6
         assert relay.said("not an estate") and relay.said("takes over")
 
