Operators' calls in a crowd that came during a pause are answered

A run of the tests under load had one caller reset without an answer. Forced: 30 callers among 60 that hold a connection, all come while the process is paused: 23 of 30 were reset without a byte, the same in three plays. Two causes, each of which alone leaves it so (23, 27): - Door.make_room sets Twisted's number of accepts to 4, but Twisted adds 20 behind it, so 24 were taken in at a time where 24 have places: the first made room before they were read. Control now sets it back before the next turn. Clients have hundreds of places. - CallLink.answer called itself answered, and so the first to be reset, before its answer was written. It does now once that is written, as ClientLink did; PONG goes to the system at once. Test seen to fail before.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -118,7 +118,8 @@
             # makes nonsense.
             self.bad_input("more before the answer")
         elif lines[0] == b"PING":
-            self.send_line(b"ERR" if self.listener.away else b"PONG")
+            # To the system at once: from here on it may be reset to make room.
+            self.send_lines([b"ERR" if self.listener.away else b"PONG"])
             self.listener.answered(self)
         else:
             self._first_line(lines[0])
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -10,7 +10,7 @@
 from twisted.internet.interfaces import IAddress
 
 from cedarledge.net.buffers import Pool
-from cedarledge.net.doors import Door
+from cedarledge.net.doors import AT_A_TIME, Door
 from cedarledge.net.links import Link, Means
 from cedarledge.net.service import Service, UnknownError
 from cedarledge.net.slots import Slots
@@ -142,9 +142,13 @@
 
     def answer(self, answer: Answer) -> None:
         if not self.ending:
+            self.control.keep(self)
             self.transport.write(answer.line())
             self.finish()
-            self.control.answered(self)
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        # Only once the answer is written: who makes room is reset, and it would go with that.
+        self.control.answered(self)
 
     def peer_ended(self, abrupt: bool) -> None:
         """It asked for nothing that goes on without it."""
@@ -166,6 +170,9 @@
 
     def buildProtocol(self, addr: IAddress) -> CallLink | None:  # noqa: N802
         self.make_room()
+        # After a pause of this process Twisted would take in 24 in its next turn, more than have a place: the
+        # first of them would make room for the last before their calls were read.
+        self.means.deadlines.after(0, setattr, self.port, "numberAccepts", AT_A_TIME)
         return CallLink(self) if self.means.links.left else None
 
     def carry_out(self, call: Call, answer: Callable[[Answer], None]) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -35,7 +35,7 @@
     until,
 )
 from pytest import MonkeyPatch, approx, mark
-from test_control import call, free_address
+from test_control import Caller, call, free_address
 from test_handover import Pair
 from twisted.internet.task import Clock
 
@@ -1087,6 +1087,21 @@
         assert caller.recv(100).startswith(b"HTTP/1.1 200")
 
 
+def test_operators_calls_in_a_crowd_that_came_while_the_process_was_paused(tmp_path: Path) -> None:
+    """Two dozen were taken in at a time, and the first made room for the last before they were read; who had
+    its answer made room before that was written."""
+    control = free_address()
+    with Program(tmp_path, [Backend("a")], control=control) as relay:
+        relay.pause()
+        crowd = [Caller(control).send(b"GET /con") for _ in range(30)]
+        callers = []
+        for _ in range(30):
+            callers.append(Caller(control).send(b"GET /control/ready HTTP/1.1\r\nHost: x\r\n\r\n"))
+            crowd.append(Caller(control).send(b"GET /con"))
+        relay.go_on()
+        assert [caller.answer()[0] for caller in callers] == [200] * 30
+
+
 def test_the_sweep_of_an_operators_drain_reads_first() -> None:
     clock, swept = Clock(), []
 
