Relays send half of a cold member's budget, in place of 0.35

Seen: seven in ten relays killed at 13 s of a release, warm members full, cold ones let in slowly, nearly four in ten tries declined. The part of 0.35 allowed for scatter, and the rule allows for it itself: a member falls past N + 3 roots of N + 3, which is 3.2 times N at 4 and 1.9 at 16.

--- a/cedarledge/choice.py
+++ b/cedarledge/choice.py
@@ -98,8 +98,8 @@
 FLEET_CARE = 4 * MS
 # So many members' reports give a fair mean, however large the fleet.
 ENOUGH_SEEN = 8
-# Relays act apart, so what they send together scatters, and each guesses the capacity from what it sees.
-COLD_CARE = 0.35
+# Relays act apart, so what they send scatters, which the limit's roots bear, and each guesses the capacity.
+COLD_CARE = 0.5
 # A tunnel heavier than this many usual ones would by itself be most of what a cold member may be sent.
 COLD_HEAVY = 1.5
 ONES = 2**64 - 1
