--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -69,8 +69,10 @@
     try:
         from cedarledge.cli import main as command_line
     except ImportError as why:
-        sys.stderr.write(f"cedarledge: the commands need {why.name}, which the extra 'rig' brings: "
-                         "pip install 'cedarledge[rig]'\n")
+        sys.stderr.write(
+            f"cedarledge: the commands need {why.name}, which the extra 'rig' brings: "
+            "pip install 'cedarledge[rig]'\n"
+        )
         return CAN_NOT_START
     command_line(prog_name="cedarledge")
     return 0
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -41,8 +41,9 @@
     def setup_up(self, tun: int, line: bytes, took: int) -> None: ...
     def lines_back(self, tun: int, lines: list[bytes]) -> None: ...
     def garbled(self, tun: int) -> None: ...
-    def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
-                   abrupt: bool) -> None: ...
+    def setup_over(
+        self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None, abrupt: bool
+    ) -> None: ...
 
 
 def read_report(text: bytes, reader: ReportReader) -> LoadReport | None:
@@ -100,8 +101,15 @@
 class SetupLink(BackendLink):
     """One setup: the first line, the backend's answer to it, then the tunnel's backend end."""
 
-    def __init__(self, backends: Backends, tun: int, ep: int, address: Address,
-                 head: Callable[[int], bytes], timeout: int) -> None:
+    def __init__(
+        self,
+        backends: Backends,
+        tun: int,
+        ep: int,
+        address: Address,
+        head: Callable[[int], bytes],
+        timeout: int,
+    ) -> None:
         super().__init__(backends.means, address)
         self.backends = backends
         self.tun = tun
@@ -199,8 +207,9 @@
     def _settle(self, outcome: Outcome, report: LoadReport | None = None, abrupt: bool = False) -> None:
         if not self.over:
             self.over = True
-            self.backends.watcher.setup_over(self.tun, self.ep, outcome, self.means.clock() - self.began,
-                                             report, abrupt)
+            self.backends.watcher.setup_over(
+                self.tun, self.ep, outcome, self.means.clock() - self.began, report, abrupt
+            )
 
 
 class ProbeLink(BackendLink):
@@ -276,9 +285,18 @@
 class Backends:
     """Opens setups and probes, and knows the probe connections that are kept."""
 
-    def __init__(self, means: Means, watcher: Watcher, probe_over: ProbeOver, reader: ReportReader,
-                 paces: Paces, connect_within: int, probe_within: int, idle_within: int,
-                 probe_word: bytes) -> None:
+    def __init__(
+        self,
+        means: Means,
+        watcher: Watcher,
+        probe_over: ProbeOver,
+        reader: ReportReader,
+        paces: Paces,
+        connect_within: int,
+        probe_within: int,
+        idle_within: int,
+        probe_word: bytes,
+    ) -> None:
         self.means = means
         self.watcher = watcher
         self.probe_over = probe_over
@@ -290,8 +308,15 @@
         self.probe_word = probe_word
         self.probes: dict[int, ProbeLink] = {}
 
-    def set_up(self, tun: int, ep: int, address: Address, head: Callable[[int], bytes],
-               timeout: int, connect_within: int) -> SetupLink:
+    def set_up(
+        self,
+        tun: int,
+        ep: int,
+        address: Address,
+        head: Callable[[int], bytes],
+        timeout: int,
+        connect_within: int,
+    ) -> SetupLink:
         link = SetupLink(self, tun, ep, address, head, timeout)
         # Where it has no longer than that, its end may be the client's answer.
         link.connect(min(connect_within, timeout), reads_first=connect_within < timeout)
--- a/cedarledge/net/beliefs.py
+++ b/cedarledge/net/beliefs.py
@@ -19,8 +19,11 @@
     """Loads by profile, capacities by kind, and the rate at which backends may be filled."""
     return {
         "loads": [[sums.read(now) for sums in pair] for pair in balancer.loads],
-        "capacity": [[kinds.names[kind], *(sums.read(now) for sums in pair)]
-                     for kind, pair in balancer.capacity.items() if kind >= 0],
+        "capacity": [
+            [kinds.names[kind], *(sums.read(now) for sums in pair)]
+            for kind, pair in balancer.capacity.items()
+            if kind >= 0
+        ],
         "rate": balancer.rate,
     }
 
@@ -29,7 +32,7 @@
     """Raises KeyError, TypeError or ValueError for what is none of the above, and then changes nothing."""
     loads = [_figures(pair, 2) for pair in told["loads"]]
     capacity = [(kinds[name], _figures(pair, 2)) for name, *pair in told["capacity"]]
-    rate, = _figures([told["rate"]], 1)
+    (rate,) = _figures([told["rate"]], 1)
     if len(loads) != len(balancer.loads):
         raise ValueError("other profiles")
     for sums, pair in zip(balancer.loads, loads, strict=True):
--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -43,9 +43,16 @@
             standing = Standing.DRAINING
         # One that was put back was started anew while it was out; the list may learn of that later.
         started = max(int(told.get("up_since_ms") or 0) * MS, self.back.get(ep, 0))
-        return Listed(ep, int(told.get("cell") or 0), self.zones[told.get("locality")],
-                      self.kinds[told.get("flavor")], float(told.get("size") or 0), standing, started,
-                      mark_of(told["id"]))
+        return Listed(
+            ep,
+            int(told.get("cell") or 0),
+            self.zones[told.get("locality")],
+            self.kinds[told.get("flavor")],
+            float(told.get("size") or 0),
+            standing,
+            started,
+            mark_of(told["id"]),
+        )
 
     def told(self, whole: bool, members: list[dict[str, Any]]) -> None:
         """Raises KeyError, TypeError or ValueError, and then nothing has changed."""
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -74,8 +74,18 @@
         wait = WAIT.search(line.rpartition(b" ")[2])
         if at is None and (wait is None or not int(wait[1])):
             raise MalformedError("no time to wait in d")
-        return Opening(line, words[1], told["c"], words[2], int(wait[1]) * MS if wait else 0, told.get("g"),
-                       told.get("t"), hint, "1" in (told.get("r"), told.get("again")), at)
+        return Opening(
+            line,
+            words[1],
+            told["c"],
+            words[2],
+            int(wait[1]) * MS if wait else 0,
+            told.get("g"),
+            told.get("t"),
+            hint,
+            "1" in (told.get("r"), told.get("again")),
+            at,
+        )
     except UnicodeDecodeError as why:
         raise MalformedError("bytes past ASCII") from why
     except KeyError as why:
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -28,9 +28,18 @@
 WHOLE_WITHIN = 2000 * MS
 READY, BACKENDS = "/control/ready", "/control/backends/"
 CALLS = {"/control": ("out-of-service", "in-service"), BACKENDS: ("offline", "online")}
-REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
-           408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
 
 
 class Call(NamedTuple):
@@ -46,8 +55,10 @@
     def line(self) -> bytes:
         body = self.text.encode("ascii", "backslashreplace") + b"\n"
         allow = f"Allow: {self.allow}\r\n" if self.allow else ""
-        head = (f"HTTP/1.1 {self.status} {REASONS[self.status]}\r\nContent-Type: text/plain\r\n{allow}"
-                f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n")
+        head = (
+            f"HTTP/1.1 {self.status} {REASONS[self.status]}\r\nContent-Type: text/plain\r\n{allow}"
+            f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+        )
         return head.encode("ascii") + body
 
 
@@ -75,7 +86,7 @@
                 raise CallError(431, "a head past all measure")
             if end < 0:
                 return None
-            head, data = self._data[:end], self._data[end + 4:]
+            head, data = self._data[:end], self._data[end + 4 :]
             self._call, self._left = self._head(head)
         # The body of a call means nothing here; it only has to be through.
         self._left -= len(data)
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -184,8 +184,9 @@
 
     def ask(self, host: str, target: str) -> Deferred[HttpAnswer]:
         self._asked = Deferred()
-        self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n"
-                             .encode("ascii"))
+        self.transport.write(
+            f"GET {target} HTTP/1.1\r\nHost: {host}\r\nAccept: application/json\r\n\r\n".encode("ascii")
+        )
         return self._asked
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -220,9 +221,18 @@
     """Follows the list. Between the answers of a watch discovery bears a pause of 200 ms, so the next call
     goes out in the very event that brought the last answer."""
 
-    def __init__(self, reactor: IReactorTCP, deadlines: Deadlines, address: Address, revision: int, wait: int,
-                 pushed: bool, chance: Callable[[], float], told: Callable[[bool, list], None],
-                 failed: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        reactor: IReactorTCP,
+        deadlines: Deadlines,
+        address: Address,
+        revision: int,
+        wait: int,
+        pushed: bool,
+        chance: Callable[[], float],
+        told: Callable[[bool, list], None],
+        failed: Callable[[], None],
+    ) -> None:
         """`pushed`: a lost call is made again here, soon. Else `failed` has others say when, by `start`."""
         self._reactor = reactor
         self._deadlines = deadlines
@@ -288,9 +298,13 @@
         self._deadlines.cancel(self._due)
         # The answer may lie unread where this process was paused, and a drain in it counts as told.
         self._due = self._deadlines.after_reading(
-            WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE, self._hung)
-        target = PATH if self._revision is None else (
-            f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}")
+            WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE, self._hung
+        )
+        target = (
+            PATH
+            if self._revision is None
+            else (f"{PATH}?since={self._revision}&timeout_ms={self._wait // MS}")
+        )
         return link.ask("{}:{}".format(*self._address), target)
 
     def _hung(self) -> None:
--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -46,8 +46,13 @@
     the dearest thing that a line cost this relay.
     """
 
-    def __init__(self, clock: Callable[[], int], deadlines: Deadlines, delays: Delays,
-                 tell_silent: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], int],
+        deadlines: Deadlines,
+        delays: Delays,
+        tell_silent: Callable[[int], None],
+    ) -> None:
         self.clock = clock
         self.deadlines = deadlines
         self.delays = delays
--- a/cedarledge/net/eventlog.py
+++ b/cedarledge/net/eventlog.py
@@ -23,11 +23,13 @@
     def _say(self, sort: str, event: str, **fields: Any) -> None:
         if sort in self._events:
             logger.bind(event=event, **fields).info(
-                "{} {}", event, " ".join(f"{name}={value}" for name, value in fields.items()))
+                "{} {}", event, " ".join(f"{name}={value}" for name, value in fields.items())
+            )
 
     def arrived(self, now: int, tun: int, profile: int, returning: bool) -> None:
-        self._say("arrived", "tunnel.arrived", tunnel=tun, profile=self._profiles[profile],
-                  returning=returning)
+        self._say(
+            "arrived", "tunnel.arrived", tunnel=tun, profile=self._profiles[profile], returning=returning
+        )
 
     def set_up(self, now: int, tun: int, ep: int, timeout: int) -> None:
         self._say("setup", "tunnel.setup", tunnel=tun, backend=self._boxes[ep], timeout=timeout)
@@ -36,12 +38,24 @@
         self._say("opened", "tunnel.opened", tunnel=tun, backend=self._boxes[ep], took=took)
 
     def setup_over(self, now: int, tun: int, ep: int, outcome: Outcome, took: int, was_open: bool) -> None:
-        self._say("setup", "tunnel.setup_over", tunnel=tun, backend=self._boxes[ep],
-                  outcome=outcome.name.lower(), took=took, was_open=was_open)
+        self._say(
+            "setup",
+            "tunnel.setup_over",
+            tunnel=tun,
+            backend=self._boxes[ep],
+            outcome=outcome.name.lower(),
+            took=took,
+            was_open=was_open,
+        )
 
     def answered(self, now: int, tun: int, declined: bool, took: int) -> None:
-        self._say("answered", "tunnel.answered", tunnel=tun,
-                  outcome="declined" if declined else "closed_with_error", took=took)
+        self._say(
+            "answered",
+            "tunnel.answered",
+            tunnel=tun,
+            outcome="declined" if declined else "closed_with_error",
+            took=took,
+        )
 
     def moved(self, now: int, tun: int, ep: int) -> None:
         self._say("moved", "tunnel.moved", tunnel=tun, backend=self._boxes[ep])
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -228,8 +228,17 @@
 
     noisy = False
 
-    def __init__(self, means: Means, folder: Path, name: str, service: Service, boxes: BoxList,
-                 tunnels: Tunnels, listener: Front, watching: Watch) -> None:
+    def __init__(
+        self,
+        means: Means,
+        folder: Path,
+        name: str,
+        service: Service,
+        boxes: BoxList,
+        tunnels: Tunnels,
+        listener: Front,
+        watching: Watch,
+    ) -> None:
         self.reactor = means.reactor
         self.deadlines = means.deadlines
         self.links = means.links
@@ -361,11 +370,16 @@
         self._lease = self.deadlines.after_reading(LEASE, self._lapsed, peer)
         names = self.boxes.eps.names
         estate = Estate(
-            time.monotonic_ns() + LEASE, self.watching.revision, list(self.boxes.listed.values()),
+            time.monotonic_ns() + LEASE,
+            self.watching.revision,
+            list(self.boxes.listed.values()),
             {names[ep]: since for ep, since in self.boxes.banned.items()},
-            {names[ep]: at for ep, at in self.boxes.back.items()}, self.listener.away,
-            sorted(self.tunnels.ids), self._held(),
-            beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.deadlines.now()))
+            {names[ep]: at for ep, at in self.boxes.back.items()},
+            self.listener.away,
+            sorted(self.tunnels.ids),
+            self._held(),
+            beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.deadlines.now()),
+        )
         peer.tell(version=VERSION, estate=estate._asdict())
 
     def _held(self) -> int:
--- a/cedarledge/net/hearers.py
+++ b/cedarledge/net/hearers.py
@@ -32,8 +32,14 @@
     out for a while, with a line that says so and how much it missed: a call can't be broken off in its
     middle, but the next ones need not be made."""
 
-    def __init__(self, clock: Callable[[], int], deadlines: Deadlines, most_share: float = 0.05,
-                 left_out: int = 30 * SECOND, stopwatch: Callable[[], int] = perf_counter_ns) -> None:
+    def __init__(
+        self,
+        clock: Callable[[], int],
+        deadlines: Deadlines,
+        most_share: float = 0.05,
+        left_out: int = 30 * SECOND,
+        stopwatch: Callable[[], int] = perf_counter_ns,
+    ) -> None:
         self._clock = clock
         self._deadlines = deadlines
         self._stopwatch = stopwatch
@@ -55,8 +61,11 @@
 
     def _arrange(self) -> None:
         for name, calls in self._calls.items():
-            calls[:] = [(seat, getattr(seat.hearer, name)) for seat in self._seats
-                        if getattr(type(seat.hearer), name) is not getattr(Hearer, name)]
+            calls[:] = [
+                (seat, getattr(seat.hearer, name))
+                for seat in self._seats
+                if getattr(type(seat.hearer), name) is not getattr(Hearer, name)
+            ]
 
     def tell(self, name: str, *args: Any) -> None:
         calls = self._calls[name]
@@ -84,9 +93,13 @@
 
     def _leave_out(self, seat: _Seat) -> None:
         seat.out, seat.missed = True, 0
-        logger.error("{} is left out for {} s: {} faults and {} ms within a second",
-                     type(seat.hearer).__name__, self.left_out // SECOND, seat.faults,
-                     seat.spent // 1_000_000)
+        logger.error(
+            "{} is left out for {} s: {} faults and {} ms within a second",
+            type(seat.hearer).__name__,
+            self.left_out // SECOND,
+            seat.faults,
+            seat.spent // 1_000_000,
+        )
         self._deadlines.after(self.left_out, self._take_back, seat)
 
     def _take_back(self, seat: _Seat) -> None:
--- a/cedarledge/net/lines.py
+++ b/cedarledge/net/lines.py
@@ -37,7 +37,7 @@
     def feed(self, data: bytes) -> list[bytes]:
         """The lines that the data completes, without their ends."""
         if self._buffer is not None:
-            data = bytes(memoryview(self._buffer)[:self._held]) + data
+            data = bytes(memoryview(self._buffer)[: self._held]) + data
             self.close()
         lines = data.split(END)
         rest = lines.pop()
@@ -45,7 +45,7 @@
             raise OverlongError(f"a line of more than {LONGEST} bytes")
         if rest:
             self._buffer = self._pool.take()
-            self._buffer[:len(rest)] = rest
+            self._buffer[: len(rest)] = rest
             self._held = len(rest)
         return lines
 
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -111,7 +111,7 @@
         # The transport's own buffers, by Twisted's names for them as of the version that is pinned.
         if not transport.dataBuffer and not transport._tempDataBuffer and self.up and not self.ending:
             try:
-                data = data[transport.socket.send(data):]
+                data = data[transport.socket.send(data) :]
             except BlockingIOError:
                 pass
             except OSError:
--- a/cedarledge/net/logs.py
+++ b/cedarledge/net/logs.py
@@ -96,8 +96,12 @@
     """Sends all log lines there; called again it replaces how. LOGURU_LEVEL goes before the level given."""
     _stderr().most = waiting
     logger.remove()
-    logger.add(_stderr(), format=as_json if form == "json" else TEXT, backtrace=False,
-               level=os.environ.get("LOGURU_LEVEL") or level.upper())
+    logger.add(
+        _stderr(),
+        format=as_json if form == "json" else TEXT,
+        backtrace=False,
+        level=os.environ.get("LOGURU_LEVEL") or level.upper(),
+    )
 
 
 def begin_logging() -> None:
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -78,8 +78,14 @@
         most = files - OWN_FILES - (CONTROL_FILES if orders.control else 0)
         if most < 2 * SPARE_LINKS:
             raise BadConfigError(f"{files} descriptors are too few")
-        self.means = Means(reactor, self.clock, self.deadlines, Pool(BUFFER_SIZE, most), Slots(most),
-                           Complaints(self.deadlines))
+        self.means = Means(
+            reactor,
+            self.clock,
+            self.deadlines,
+            Pool(BUFFER_SIZE, most),
+            Slots(most),
+            Complaints(self.deadlines),
+        )
         self.hearers = Hearers(self.clock, self.deadlines)
         self.module = Module(self.clock, self.deadlines)
         try:
@@ -87,29 +93,52 @@
             # Names may be numbers there; on the wire they are words.
             self.profiles, tenants = (
                 {str(row["name"]): place for place, row in enumerate(settings.get(kind) or ())}
-                for kind in ("profiles", "tenants"))
+                for kind in ("profiles", "tenants")
+            )
             # Clients say whole milliseconds.
             waits = [max(MS, int(row["client_timeout"]) * US or LONGEST_STOP) for row in settings["profiles"]]
             # Clients' lines come back at once however slow the backend's messages are; they show hangs alone.
             facts = site_facts(settings, orders.seed, self.clock(), self.boxes.zones)._replace(
-                delays_told=False)
+                delays_told=False
+            )
             allowed, reports = settings["allowed"], settings.get("load_report") or {}
             connect_within = int(allowed["connect_timeout"]) * US or LONGEST_STOP  # 0: no limit is told
             known = [self.boxes.entry(entry) for entry in orders.known["members"]]
-            self.watching = Watch(reactor, self.deadlines, orders.discovery, int(orders.known["revision"]),
-                                  facts.ask_every, not facts.must_ask, self.module.chance, self.boxes.told,
-                                  self.boxes.lost)
+            self.watching = Watch(
+                reactor,
+                self.deadlines,
+                orders.discovery,
+                int(orders.known["revision"]),
+                facts.ask_every,
+                not facts.must_ask,
+                self.module.chance,
+                self.boxes.told,
+                self.boxes.lost,
+            )
             self.tunnels = Tunnels(
-                self.means, self.module, self.boxes, self.hearers,
-                (most - SPARE_LINKS - min(len(known), SPARE_LINKS)) // 2, self.profiles, tenants, waits,
-                connect_within)
+                self.means,
+                self.module,
+                self.boxes,
+                self.hearers,
+                (most - SPARE_LINKS - min(len(known), SPARE_LINKS)) // 2,
+                self.profiles,
+                tenants,
+                waits,
+                connect_within,
+            )
             goals = [row.setup_goal for row in facts.profiles]
             self.backends = Backends(
-                self.means, self.tunnels, self.probe_over, ReportReader(settings),
-                Paces((facts.tightest or min(goals)) // 5), connect_within,
+                self.means,
+                self.tunnels,
+                self.probe_over,
+                ReportReader(settings),
+                Paces((facts.tightest or min(goals)) // 5),
+                connect_within,
                 # A probe that takes longer than the tightest setup may tells nothing good of its backend.
-                probe_within=min(goals), idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
-                probe_word=b"PING" if reports.get("how", "off") == "off" else b"STATS")
+                probe_within=min(goals),
+                idle_within=int(allowed.get("conn_idle") or 15_000_000) * US,
+                probe_word=b"PING" if reports.get("how", "off") == "off" else b"STATS",
+            )
             self.stop_within = min(LONGEST_STOP, max(waits))
             tells = (settings.get("domain") or {}).get("tells_delay")
         except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as why:
@@ -119,8 +148,9 @@
         self.tunnels.join(self.backends, Echoes(self.clock, self.deadlines, in_lines, self.tunnels.silent))
         self.module.join(self.tunnels, self.backends, self.boxes, self.watching)
         self.front: Front = Listener(self.means, self.tunnels)
-        self.service = Service(self.deadlines, self.module, self.boxes, self.tunnels, self.backends,
-                               self.front)
+        self.service = Service(
+            self.deadlines, self.module, self.boxes, self.tunnels, self.backends, self.front
+        )
         self.handover: Handover | None = None
         self.ended = False
         self.listeners: list[Hearer] = []
@@ -136,8 +166,16 @@
             from cedarledge.net.handover import Handover
 
             folder = Path(os.environ.get("TMPDIR") or gettempdir())
-            self.handover = Handover(self.means, folder, orders.name, self.service, self.boxes, self.tunnels,
-                                     self.front, self.watching)
+            self.handover = Handover(
+                self.means,
+                folder,
+                orders.name,
+                self.service,
+                self.boxes,
+                self.tunnels,
+                self.front,
+                self.watching,
+            )
         if orders.control is not None:
             from cedarledge.net.control import Control
 
@@ -250,8 +288,12 @@
         self.means.reactor.stop()
 
 
-def run(orders: StartingOrders, read_operator_file: ReadOperatorFile | None = None,
-        balancer: MakeBalancer = Balancer, joins: Joins | None = None) -> int:
+def run(
+    orders: StartingOrders,
+    read_operator_file: ReadOperatorFile | None = None,
+    balancer: MakeBalancer = Balancer,
+    joins: Joins | None = None,
+) -> int:
     """Runs one relay until it is told to end, and gives its exit code. `joins` adds what the operator's file
     has on. Raises BadConfigError."""
     from twisted.internet import reactor
@@ -270,14 +312,20 @@
         relay.open(orders)
     except CannotListenError as why:
         raise BadConfigError(str(why)) from why
-    logger.info("{} listens, {} backends known, room for {} tunnels", orders.name, len(relay.boxes.ready),
-                relay.tunnels.table.most)
+    logger.info(
+        "{} listens, {} backends known, room for {} tunnels",
+        orders.name,
+        len(relay.boxes.ready),
+        relay.tunnels.table.most,
+    )
     if joins is not None and wanted is not None:
         joins(relay, orders, wanted)
     # Twisted's own handler for SIGTERM, made as it starts, would end the reactor with every connection.
-    reactor.callWhenRunning(signals.hear, {
-        signal.SIGHUP: lambda: relay.reload(read_operator_file), signal.SIGTERM: relay.stop},
-        reactor.callFromThread)
+    reactor.callWhenRunning(
+        signals.hear,
+        {signal.SIGHUP: lambda: relay.reload(read_operator_file), signal.SIGTERM: relay.stop},
+        reactor.callFromThread,
+    )
     reactor.run()
     signals.hold_back()
     return 0
--- a/cedarledge/net/service.py
+++ b/cedarledge/net/service.py
@@ -24,8 +24,15 @@
 class Service:
     """Each call may come twice, and then changes nothing."""
 
-    def __init__(self, deadlines: Deadlines, module: Module, boxes: BoxList, tunnels: Tunnels,
-                 backends: Backends, front: Front) -> None:
+    def __init__(
+        self,
+        deadlines: Deadlines,
+        module: Module,
+        boxes: BoxList,
+        tunnels: Tunnels,
+        backends: Backends,
+        front: Front,
+    ) -> None:
         self.deadlines = deadlines
         self.module = module
         self.boxes = boxes
@@ -37,8 +44,12 @@
         self.takes_over = False  # while the process before is still there
         self._sweep: Deadline | None = None
         # By the names that they have between two processes.
-        self.calls = {"out-of-service": self.go_out, "in-service": self.come_in, "offline": self.take_out,
-                      "online": self.put_back}
+        self.calls = {
+            "out-of-service": self.go_out,
+            "in-service": self.come_in,
+            "offline": self.take_out,
+            "online": self.put_back,
+        }
 
     def why_not_ready(self) -> str:
         """Empty where this process can serve."""
--- a/cedarledge/net/signals.py
+++ b/cedarledge/net/signals.py
@@ -19,12 +19,14 @@
     return signal.SIGTERM in signal.sigpending()
 
 
-def hear(calls: Mapping[signal.Signals, Callable[[], None]],
-         leave_word: Callable[[Callable[[], None]], None]) -> None:
+def hear(
+    calls: Mapping[signal.Signals, Callable[[], None]], leave_word: Callable[[Callable[[], None]], None]
+) -> None:
     """Has each call made for its signal, what has come before included. A handler may run anywhere, also
     within itself, so it only leaves word, and nothing more is heard until that is read: handlers within
     handlers were the end of a process that was told to end over and over."""
     for number, call in calls.items():
+
         def came(*_: object, call: Callable[[], None] = call) -> None:
             hold_back()
             leave_word(lambda: _read(call))
--- a/cedarledge/net/slots.py
+++ b/cedarledge/net/slots.py
@@ -57,5 +57,8 @@
         self.used -= 1
 
     def handles(self) -> list[int]:
-        return [turn * self.most + place for place, turn in enumerate(self._turns)
-                if self._holders[place] is not None]
+        return [
+            turn * self.most + place
+            for place, turn in enumerate(self._turns)
+            if self._holders[place] is not None
+        ]
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -35,8 +35,9 @@
 
     __slots__ = ("began", "client", "echo", "known", "opening", "over", "profile", "setup", "tenant", "up")
 
-    def __init__(self, client: ClientEnd, opening: Opening, profile: int, tenant: int | None,
-                 began: int) -> None:
+    def __init__(
+        self, client: ClientEnd, opening: Opening, profile: int, tenant: int | None, began: int
+    ) -> None:
         self.client = client
         self.opening = opening
         self.profile = profile
@@ -55,9 +56,18 @@
     backends: Backends
     echoes: Echoes
 
-    def __init__(self, means: Means, module: Module, boxes: BoxList, hearers: Hearers, most: int,
-                 profiles: Mapping[str, int], tenants: Mapping[str, int], waits: Sequence[int],
-                 connect_within: int) -> None:
+    def __init__(
+        self,
+        means: Means,
+        module: Module,
+        boxes: BoxList,
+        hearers: Hearers,
+        most: int,
+        profiles: Mapping[str, int],
+        tenants: Mapping[str, int],
+        waits: Sequence[int],
+        connect_within: int,
+    ) -> None:
         self.means = means
         self.clock = means.clock
         self.deadlines = means.deadlines
@@ -89,8 +99,9 @@
     def _set_up(self, tun: int, ep: int, timeout: int, connect_within: int) -> None:
         tunnel = self.table.get(tun)
         try:
-            tunnel.setup = self.backends.set_up(tun, ep, self.boxes.addresses[ep], tunnel.opening.head,
-                                                timeout, connect_within)
+            tunnel.setup = self.backends.set_up(
+                tun, ep, self.boxes.addresses[ep], tunnel.opening.head, timeout, connect_within
+            )
         except FullError:
             self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
 
@@ -147,9 +158,17 @@
         tunnel.known = self.begun = True
         if opening.returning:
             self.refugees.add(self.clock(), 1)
-        if not self.module.tell(self.module.balancer.tunnel_arrived, tun, profile, tenant, opening.key,
-                                opening.group, max(MS, opening.wait - WAY_BACK), opening.hint,
-                                opening.returning):
+        if not self.module.tell(
+            self.module.balancer.tunnel_arrived,
+            tun,
+            profile,
+            tenant,
+            opening.key,
+            opening.group,
+            max(MS, opening.wait - WAY_BACK),
+            opening.hint,
+            opening.returning,
+        ):
             self.abandon(tun)
         return tun
 
@@ -172,8 +191,15 @@
             setup.call_off(abrupt)
             if tunnel.known:
                 outcome = Outcome.CANCELLED if setup.written else Outcome.NOT_SENT
-                self.module.tell(self.module.balancer.setup_ended, tun, setup.ep, True, outcome,
-                                 self.clock() - setup.began, None)
+                self.module.tell(
+                    self.module.balancer.setup_ended,
+                    tun,
+                    setup.ep,
+                    True,
+                    outcome,
+                    self.clock() - setup.began,
+                    None,
+                )
         self._free(tun)
 
     # -- a connection that was open before ---------------------------------------------------------
@@ -204,8 +230,11 @@
         """Nothing new goes to a backend that drains; what was open there before goes nowhere else, and there
         only if operators have not taken it out."""
         tunnel = self.table.get(tun)
-        return tunnel is not None and ep not in self.boxes.banned and (
-            ep in self.boxes.ready or not tunnel.known)
+        return (
+            tunnel is not None
+            and ep not in self.boxes.banned
+            and (ep in self.boxes.ready or not tunnel.known)
+        )
 
     def client_waits(self, tun: int) -> int:
         """How long the client still waits for its answer, in ns; below 0: no longer."""
@@ -218,8 +247,9 @@
 
     def setup_up(self, tun: int, line: bytes, took: int) -> None:
         tunnel = self.table.get(tun)
-        logger.debug("tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep],
-                     took // MS)
+        logger.debug(
+            "tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep], took // MS
+        )
         tunnel.up = True
         setup, client = tunnel.setup, tunnel.client
         tunnel.echo = Echo(self.echoes, tun, setup.ep)
@@ -232,8 +262,16 @@
         else:
             opening = tunnel.opening
             tunnel.known = True
-            self.module.tell(self.module.balancer.adopted, tun, tunnel.profile, tunnel.tenant, opening.key,
-                             opening.group, setup.ep, opening.hint)
+            self.module.tell(
+                self.module.balancer.adopted,
+                tun,
+                tunnel.profile,
+                tunnel.tenant,
+                opening.key,
+                opening.group,
+                setup.ep,
+                opening.hint,
+            )
         self.hearers.tell("opened", tun, setup.ep, took)
 
     def lines_back(self, tun: int, lines: list[bytes]) -> None:
@@ -252,15 +290,22 @@
                 continue
             self.module.tell(self.module.balancer.load_told, tun, load)
 
-    def setup_over(self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None,
-                   abrupt: bool) -> None:
+    def setup_over(
+        self, tun: int, ep: int, outcome: Outcome, took: int, report: LoadReport | None, abrupt: bool
+    ) -> None:
         tunnel = self.table.get(tun)
         if tunnel is None:
             # No slot was found for it, and its client has left since. The module counts it still.
             self.module.tell(self.module.balancer.setup_ended, tun, ep, True, outcome, took, report)
             return
-        logger.debug("tunnel {} at {}: {} after {} ms, up {}", tun, self.boxes.eps.names[ep], outcome.name,
-                     took // MS, tunnel.up)
+        logger.debug(
+            "tunnel {} at {}: {} after {} ms, up {}",
+            tun,
+            self.boxes.eps.names[ep],
+            outcome.name,
+            took // MS,
+            tunnel.up,
+        )
         was_open = tunnel.up
         self._part(tunnel, over=was_open)
         self.hearers.tell("setup_over", tun, ep, outcome, took, was_open)
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -272,8 +272,7 @@
                     "seed": f"{chance.getrandbits(64):016x}",
                     "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": self.plan.sockets},
                     "known": self.discovery.known(relay),
-                    "settings": self.plan.settings
-                    | {"me": relay, "zone": self.plan.zones.of_relay(relay)},
+                    "settings": self.plan.settings | {"me": relay, "zone": self.plan.zones.of_relay(relay)},
                 }
             )
         )
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -365,15 +365,9 @@
             told[entry.relay, entry.box].append((entry.at, entry.phase, heard))
         for setups in self.setups.values():
             for setup in setups:
-                before = [
-                    entry
-                    for entry in told[setup.relay, setup.box]
-                    if entry[2] < setup.began
-                ]
+                before = [entry for entry in told[setup.relay, setup.box] if entry[2] < setup.began]
                 after = [
-                    entry
-                    for entry in told[setup.relay, setup.box]
-                    if entry[2] >= setup.began >= entry[0]
+                    entry for entry in told[setup.relay, setup.box] if entry[2] >= setup.began >= entry[0]
                 ]
                 # Told since that it is up again is told.
                 if (
@@ -464,8 +458,15 @@
             said, placed = words[second], sorted(took[second])
             up, busy = said.count("UP"), said.count("BUSY")
             lines.append(
-                BySecond(second, up, busy, len(said) - up - busy, reached[second],
-                         quantile(placed, 0.5), quantile(placed, 0.99))
+                BySecond(
+                    second,
+                    up,
+                    busy,
+                    len(said) - up - busy,
+                    reached[second],
+                    quantile(placed, 0.5),
+                    quantile(placed, 0.99),
+                )
             )
         return lines
 
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -96,35 +96,89 @@
 
     def endpoints(self, now: int, form: str, _serial: Any = None, entries: Any = None) -> None:
         listed = [
-            Listed(self.eps[ep], cluster, self.zones[site], self.kinds[family], float(weight or 0),
-                   STANDINGS[readiness], (launched or 0) * US, mark_of(ep))
+            Listed(
+                self.eps[ep],
+                cluster,
+                self.zones[site],
+                self.kinds[family],
+                float(weight or 0),
+                STANDINGS[readiness],
+                (launched or 0) * US,
+                mark_of(ep),
+            )
             for cluster, site, readiness, family, weight, ep, launched in (
-                (*entry, None) if len(entry) == 6 else entry for entry in entries or ())
+                (*entry, None) if len(entry) == 6 else entry for entry in entries or ()
+            )
         ]
         self.balancer.list_changed(now, FORMS[form], listed)
 
-    def inbound(self, now: int, msg_id: int, type_: str, project: Any = None, resource: Any = None,
-                time_budget: int = 0, work_hint: Any = None, room: Any = None, marks: Any = 0) -> None:
+    def inbound(
+        self,
+        now: int,
+        msg_id: int,
+        type_: str,
+        project: Any = None,
+        resource: Any = None,
+        time_budget: int = 0,
+        work_hint: Any = None,
+        room: Any = None,
+        marks: Any = 0,
+    ) -> None:
         hint = work_hint if marks and marks & 1 else None
         self.balancer.tunnel_arrived(
-            now, self._enter(msg_id), self._profile(type_), self.tenants[project] if project else None,
-            resource, room, time_budget * US, hint, bool(marks and marks & RETURNING))
-
-    def adopted(self, now: int, msg_id: int, marks: Any, work_hint: Any, _time_budget: Any, backend: str,
-                resource: Any = None, room: Any = None, project: Any = None, type_: str = "") -> None:
+            now,
+            self._enter(msg_id),
+            self._profile(type_),
+            self.tenants[project] if project else None,
+            resource,
+            room,
+            time_budget * US,
+            hint,
+            bool(marks and marks & RETURNING),
+        )
+
+    def adopted(
+        self,
+        now: int,
+        msg_id: int,
+        marks: Any,
+        work_hint: Any,
+        _time_budget: Any,
+        backend: str,
+        resource: Any = None,
+        room: Any = None,
+        project: Any = None,
+        type_: str = "",
+    ) -> None:
         tun = self._enter(msg_id)
         self.out_setups[tun] = 1
         self.balancer.adopted(
-            now, tun, self._profile(type_), self.tenants[project] if project else None, resource, room,
-            self.eps[backend], work_hint if marks and marks & 1 else None)
+            now,
+            tun,
+            self._profile(type_),
+            self.tenants[project] if project else None,
+            resource,
+            room,
+            self.eps[backend],
+            work_hint if marks and marks & 1 else None,
+        )
 
     def started(self, now: int, msg_id: int, _shot: int, cost_time: int, _backend: str) -> None:
         tun = self.tuns.get(msg_id)
         if tun is not None:
             self.balancer.opened(now, tun, cost_time * US)
 
-    def verdict(self, now: int, msg_id: int, backend: str, ended: bool, how: str, _shot: int,
-                cost_time: int, server_stats: Any = None) -> None:
+    def verdict(
+        self,
+        now: int,
+        msg_id: int,
+        backend: str,
+        ended: bool,
+        how: str,
+        _shot: int,
+        cost_time: int,
+        server_stats: Any = None,
+    ) -> None:
         tun = self.tuns.get(msg_id)
         if tun is None:
             return
@@ -163,9 +217,21 @@
         """Peers' messages carry nothing yet: the decisions do without them."""
 
 
-HANDLERS = {name: getattr(Instance, name) for name in (
-    "endpoints", "inbound", "memo", "status_back", "elapsed", "expired", "verdict", "hint_update",
-    "started", "adopted")}
+HANDLERS = {
+    name: getattr(Instance, name)
+    for name in (
+        "endpoints",
+        "inbound",
+        "memo",
+        "status_back",
+        "elapsed",
+        "expired",
+        "verdict",
+        "hint_update",
+        "started",
+        "adopted",
+    )
+}
 
 
 class Wire:
--- a/cedarledge/wirehost/words.py
+++ b/cedarledge/wirehost/words.py
@@ -4,8 +4,20 @@
 
 from cedarledge.terms import ListForm, Outcome, Standing
 
-FORMS = {"update": ListForm.CHANGES, "replace": ListForm.WHOLE, "restored": ListForm.RESTORED,
-         "unavailable": ListForm.UNAVAILABLE}
+FORMS = {
+    "update": ListForm.CHANGES,
+    "replace": ListForm.WHOLE,
+    "restored": ListForm.RESTORED,
+    "unavailable": ListForm.UNAVAILABLE,
+}
 STANDINGS = {"Running": Standing.READY, "Stopping": Standing.DRAINING, "Deleted": Standing.GONE}
-OUTCOMES = {"S": Outcome.DONE, "E": Outcome.ERROR, "F": Outcome.FULL, "T": Outcome.TIMEOUT,
-            "C": Outcome.CONNECT_FAILED, "R": Outcome.RESET, "X": Outcome.CANCELLED, "N": Outcome.NOT_SENT}
+OUTCOMES = {
+    "S": Outcome.DONE,
+    "E": Outcome.ERROR,
+    "F": Outcome.FULL,
+    "T": Outcome.TIMEOUT,
+    "C": Outcome.CONNECT_FAILED,
+    "R": Outcome.RESET,
+    "X": Outcome.CANCELLED,
+    "N": Outcome.NOT_SENT,
+}
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -16,10 +16,18 @@
 
 # Report columns by the module's names, with the factor to its units. The pages on the sockets show a report
 # with shorter names than those that the settings list, so both are known.
-COLUMNS = {"outstanding": ("held", 1), "backlog": ("queued", 1), "utilization": ("busy_share", 1),
-           "recent_ms": ("service_time", MS), "errors_per_s": ("errors_per_s", 1),
-           "inflight": ("held", 1), "queue": ("queued", 1), "util": ("busy_share", 1),
-           "latency_ms": ("service_time", MS), "eps": ("errors_per_s", 1)}
+COLUMNS = {
+    "outstanding": ("held", 1),
+    "backlog": ("queued", 1),
+    "utilization": ("busy_share", 1),
+    "recent_ms": ("service_time", MS),
+    "errors_per_s": ("errors_per_s", 1),
+    "inflight": ("held", 1),
+    "queue": ("queued", 1),
+    "util": ("busy_share", 1),
+    "latency_ms": ("service_time", MS),
+    "eps": ("errors_per_s", 1),
+}
 # What x0 and x1 mean is told by the kind of service; where it is not known they are passed over.
 CONNECTION_COLUMNS = {"x0": ("asked", 1), "x1": ("piled_up", SECOND)}
 
@@ -61,11 +69,21 @@
 
 
 # What no relay can do without, by its place; and what may be left out, be null, or be there.
-NEEDED = ("allowed.connect_timeout", "safety.cold_from", "safety.warm_within", "safety.fall_multiple",
-          "safety.overload_for")
+NEEDED = (
+    "allowed.connect_timeout",
+    "safety.cold_from",
+    "safety.warm_within",
+    "safety.fall_multiple",
+    "safety.overload_for",
+)
 NEEDED_OF_PROFILES = ("setup_goal", "client_timeout", "credit")
-OPTIONAL = ("allowed.conn_idle", "allowed.max_retry_after", "allowed.most_setups", "safety.ask_every",
-            "overage_credit")
+OPTIONAL = (
+    "allowed.conn_idle",
+    "allowed.max_retry_after",
+    "allowed.most_setups",
+    "safety.ask_every",
+    "overage_credit",
+)
 TABLES = ("allowed", "safety", "domain", "prices", "load_report")
 # No figure comes near it: a day in microseconds is 9e10. Past it whole numbers would be no floats.
 MOST = 1e15
@@ -143,7 +161,8 @@
         zone=zones[settings.get("zone")],
         profiles=tuple(
             _profile(row, (goals[place] if place < len(goals) else 0) or 0)
-            for place, row in enumerate(settings.get("profiles") or ())),
+            for place, row in enumerate(settings.get("profiles") or ())
+        ),
         ranked=settings.get("weight_kind", "off") != "off",
         must_ask=settings.get("membership_mode") == "ask",
         ask_every=int(safety.get("ask_every") or 0) * US,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -41,19 +41,44 @@
 def facts(window: int = 2 * SECOND, **other: object) -> SiteFacts:
     rows = tuple(
         ProfileRow(effect, dedup, window, 300 * MS, 50 * MS, 1.0 + place)
-        for place, (effect, dedup) in enumerate((
-            (Effect.REPEATABLE, Dedup.ALL), (Effect.REFERENCED, Dedup.ALL), (Effect.REFERENCED, Dedup.ZONE),
-            (Effect.REFERENCED, Dedup.CELL), (Effect.ONCE_ONLY, Dedup.ALL))))
+        for place, (effect, dedup) in enumerate(
+            (
+                (Effect.REPEATABLE, Dedup.ALL),
+                (Effect.REFERENCED, Dedup.ALL),
+                (Effect.REFERENCED, Dedup.ZONE),
+                (Effect.REFERENCED, Dedup.CELL),
+                (Effect.ONCE_ONLY, Dedup.ALL),
+            )
+        )
+    )
     plain: dict = dict(
-        now=START, seed=1, me=0, relays=2, zone=0, profiles=rows, ranked=False, must_ask=True,
-        ask_every=10 * SECOND, probes=True, delays_told=True, come_back_max=SECOND, most_setups=4,
-        cold_from=0.2, warm_within=10 * SECOND, fall_multiple=3.0, fall_span=2 * SECOND,
-        grouped=False, quotas=(), over_share_credit=1.0)
+        now=START,
+        seed=1,
+        me=0,
+        relays=2,
+        zone=0,
+        profiles=rows,
+        ranked=False,
+        must_ask=True,
+        ask_every=10 * SECOND,
+        probes=True,
+        delays_told=True,
+        come_back_max=SECOND,
+        most_setups=4,
+        cold_from=0.2,
+        warm_within=10 * SECOND,
+        fall_multiple=3.0,
+        fall_span=2 * SECOND,
+        grouped=False,
+        quotas=(),
+        over_share_credit=1.0,
+    )
     return SiteFacts(**(plain | other))
 
 
-def listed(ep: int, standing: Standing = Standing.READY, started: int = 0, cells: int = 2,
-           weight: float = 1.0) -> Listed:
+def listed(
+    ep: int, standing: Standing = Standing.READY, started: int = 0, cells: int = 2, weight: float = 1.0
+) -> Listed:
     return Listed(ep, ep % cells, ep % 2, 0, weight, standing, started, ep)
 
 
@@ -102,8 +127,11 @@
             first = ran[0]
             assert self.now < first[1] + row.window, "a repeat outside the window"
             one, two = self.listing[first[0]], self.listing[ep]
-            assert (row.dedup is Dedup.ALL or (row.dedup is Dedup.ZONE and one.zone == two.zone)
-                    or (row.dedup is Dedup.CELL and one.cell == two.cell)), "a repeat outside the group"
+            assert (
+                row.dedup is Dedup.ALL
+                or (row.dedup is Dedup.ZONE and one.zone == two.zone)
+                or (row.dedup is Dedup.CELL and one.cell == two.cell)
+            ), "a repeat outside the group"
         case.setups.append([ep, self.now, None, False])
         self.sends.append((self.now, tun, ep))
 
@@ -111,8 +139,11 @@
         case, row = self.cases[tun], self.site.profiles[self.cases[tun].profile]
         assert not case.answered, "two final answers"
         assert 0 <= come_back <= self.site.come_back_max
-        assert (not self._may_have_run(case) or row.effect is Effect.REPEATABLE
-                or (row.effect is Effect.REFERENCED and row.dedup is Dedup.ALL)), "a decline after a run"
+        assert (
+            not self._may_have_run(case)
+            or row.effect is Effect.REPEATABLE
+            or (row.effect is Effect.REFERENCED and row.dedup is Dedup.ALL)
+        ), "a decline after a run"
         case.answered = True
         self.declines.append((self.now, tun))
 
@@ -153,8 +184,15 @@
             self.listing |= {entry.ep: entry for entry in entries}
         self.balancer.list_changed(self.now, form, list(entries))
 
-    def arrive(self, profile: int = 0, key: str | None = None, budget: int = SECOND,
-               hint: float | None = None, group: str | None = None, tenant: int | None = None) -> int:
+    def arrive(
+        self,
+        profile: int = 0,
+        key: str | None = None,
+        budget: int = SECOND,
+        hint: float | None = None,
+        group: str | None = None,
+        tenant: int | None = None,
+    ) -> int:
         tun = len(self.cases)
         self.cases[tun] = Case(profile, self.now, self.now + budget)
         self.balancer.tunnel_arrived(self.now, tun, profile, tenant, key, group, budget, hint, False)
@@ -225,15 +263,35 @@
 
 SETTINGS = {
     "allowed": {"most_setups": 4, "probes": True, "connect_timeout": 150_000, "conn_idle": 15_000_000},
-    "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3, "overload_for": 2_000_000,
-               "ask_every": 2_000_000},
-    "profiles": [{"name": name, "semantics": semantics, "group": "all", "window": 2_000_000, "credit": 1,
-                  "setup_goal": 300_000, "client_timeout": 1_500_000}
-                 for name, semantics in (("feed", "pure"), ("bill", "side_effect"))],
+    "safety": {
+        "cold_from": 0.2,
+        "warm_within": 9_000_000,
+        "fall_multiple": 3,
+        "overload_for": 2_000_000,
+        "ask_every": 2_000_000,
+    },
+    "profiles": [
+        {
+            "name": name,
+            "semantics": semantics,
+            "group": "all",
+            "window": 2_000_000,
+            "credit": 1,
+            "setup_goal": 300_000,
+            "client_timeout": 1_500_000,
+        }
+        for name, semantics in (("feed", "pure"), ("bill", "side_effect"))
+    ],
     "domain": {"message_aim": [100_000, 100_000], "tells_delay": True, "groups": False},
     "load_report": {"columns": ["utilization", "recent_ms", "x0"], "how": "on_probe"},
-    "service_type": "conn", "membership_mode": "ask", "group_size": 1, "dcs": ["here"], "zone": "here",
-    "host_types": ["box"], "weight_kind": "off", "unheard": {"of": "passed over"},
+    "service_type": "conn",
+    "membership_mode": "ask",
+    "group_size": 1,
+    "dcs": ["here"],
+    "zone": "here",
+    "host_types": ["box"],
+    "weight_kind": "off",
+    "unheard": {"of": "passed over"},
 }
 
 
@@ -283,8 +341,16 @@
         super().__init__()
 
     def entry(self, phase: str = "up") -> dict:
-        return {"id": self.name, "host_port": self.address, "locality": "here", "flavor": "box", "cell": 0,
-                "phase": phase, "size": 1.0, "up_since_ms": 0}
+        return {
+            "id": self.name,
+            "host_port": self.address,
+            "locality": "here",
+            "flavor": "box",
+            "cell": 0,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": 0,
+        }
 
     def serve(self, link: socket.socket, lines: IO[bytes]) -> None:
         end = "ended"
@@ -451,16 +517,22 @@
 class Program:
     """The relay, started as a program."""
 
-    def __init__(self, tmp: Path, backends: list[Backend], arguments: Sequence[str] = (),
-                 **other: object) -> None:
+    def __init__(
+        self, tmp: Path, backends: list[Backend], arguments: Sequence[str] = (), **other: object
+    ) -> None:
         self.backends = backends
         self.arguments = arguments
         self.discovery = Discovery([backend.entry() for backend in backends])
         self.address = ("127.0.0.1", free_port())
-        told = {"name": "n0", "listen": "{}:{}".format(*self.address), "discovery": self.discovery.address,
-                "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
-                "known": {"revision": 7, "complete": True, "members": self.discovery.members},
-                "settings": SETTINGS} | other
+        told = {
+            "name": "n0",
+            "listen": "{}:{}".format(*self.address),
+            "discovery": self.discovery.address,
+            "seed": "8c1f30d27a5be964",
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 512},
+            "known": {"revision": 7, "complete": True, "members": self.discovery.members},
+            "settings": SETTINGS,
+        } | other
         self.told = told
         self.path = tmp / "told.json"
         self.path.write_text(json.dumps(told))
@@ -471,9 +543,9 @@
         return [sys.executable, "-m", "cedarledge", *self.arguments]
 
     def start(self) -> None:
-        self.process = subprocess.Popen(self.command(),
-                                        stderr=self.log.open("ab"),
-                                        env=os.environ | {"BALANCER_CONFIG": str(self.path)})
+        self.process = subprocess.Popen(
+            self.command(), stderr=self.log.open("ab"), env=os.environ | {"BALANCER_CONFIG": str(self.path)}
+        )
 
     def __enter__(self) -> Program:
         until(lambda: self.process.poll() is not None or self.answers())
@@ -521,5 +593,20 @@
     return time.monotonic() - start
 
 
-__all__ = ["MS", "SECOND", "START", "TICK", "Backend", "Case", "Ledger", "Program", "facts", "fleet",
-           "http", "listed", "reset", "teach", "until"]
+__all__ = [
+    "MS",
+    "SECOND",
+    "START",
+    "TICK",
+    "Backend",
+    "Case",
+    "Ledger",
+    "Program",
+    "facts",
+    "fleet",
+    "http",
+    "listed",
+    "reset",
+    "teach",
+    "until",
+]
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -32,14 +32,23 @@
             return True
 
         module = SimpleNamespace(
-            tell=tell, balancer=ledger.balancer,
-            knows=lambda aside: ledger.balancer.knows(ledger.now, Outlook(aside=aside)))
+            tell=tell,
+            balancer=ledger.balancer,
+            knows=lambda aside: ledger.balancer.knows(ledger.now, Outlook(aside=aside)),
+        )
         self.boxes = BoxList(module, SimpleNamespace(tell=lambda *_: None), {"dcs": ["z"]})
         self.told(True, *[self.entry(name) for name in NAMES])
 
     def entry(self, name: str, phase: str = "up", started: int = 0) -> dict:
-        return {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "cell": NAMES.index(name) % 2,
-                "phase": phase, "size": 1.0, "up_since_ms": started}
+        return {
+            "id": name,
+            "host_port": "127.0.0.1:1",
+            "locality": "z",
+            "cell": NAMES.index(name) % 2,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": started,
+        }
 
     def told(self, whole: bool, *members: dict) -> None:
         self.boxes.told(whole, list(members))
@@ -51,9 +60,30 @@
         self.boxes.put_back(self.boxes.known(name), self.ledger.now)
 
 
-@given(steps=st.lists(st.tuples(st.sampled_from(("ban", "ban", "back", "up", "draining", "removed", "whole",
-                                                 "restarted", "arrive", "arrive", "aside", "wait")),
-                                st.sampled_from(NAMES)), max_size=60))
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(
+                (
+                    "ban",
+                    "ban",
+                    "back",
+                    "up",
+                    "draining",
+                    "removed",
+                    "whole",
+                    "restarted",
+                    "arrive",
+                    "arrive",
+                    "aside",
+                    "wait",
+                )
+            ),
+            st.sampled_from(NAMES),
+        ),
+        max_size=60,
+    )
+)
 @settings(derandomize=True, deadline=None, max_examples=200)
 def test_nothing_new_goes_to_a_banned_backend_whatever_the_list_says(steps: list[tuple[str, str]]) -> None:
     site = Listed()
@@ -191,6 +221,8 @@
 
 def test_names_are_as_the_list_has_them(tmp_path: Path) -> None:
     with running(tmp_path, Backend("a b/c")) as (_, control):
-        answers = [call(control, "POST", f"/control/backends/{name}/offline")
-                   for name in ("x", "", "a%20b", "a%20b%2Fc")]
+        answers = [
+            call(control, "POST", f"/control/backends/{name}/offline")
+            for name in ("x", "", "a%20b", "a%20b%2Fc")
+        ]
         assert answers == [404, 404, 404, 200]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -178,8 +178,10 @@
 
 def test_a_full_fleet_lets_go_what_earns_least_and_says_when_to_return() -> None:
     ledger = fleet(4, 0.8)
-    tuns = {profile: [ledger.arrive(profile, f"{profile} {number}", hint=100.0) for number in range(30)]
-            for profile in (0, 4)}
+    tuns = {
+        profile: [ledger.arrive(profile, f"{profile} {number}", hint=100.0) for number in range(30)]
+        for profile in (0, 4)
+    }
     for tun in tuns[0] + tuns[4]:
         ledger.open(tun)
     for _ in range(6):
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -58,13 +58,16 @@
         yield relay, address
 
 
-@given(lengths=st.lists(st.integers(1, 30), max_size=40), body=st.binary(max_size=200),
-       behind=st.binary(max_size=40))
+@given(
+    lengths=st.lists(st.integers(1, 30), max_size=40),
+    body=st.binary(max_size=200),
+    behind=st.binary(max_size=40),
+)
 @settings(derandomize=True, deadline=None, max_examples=150)
 def test_a_call_is_the_same_however_it_is_cut(lengths: list[int], body: bytes, behind: bytes) -> None:
     data = b"POST /control/x?y HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n" % len(body) + body
     reader, got, at = CallReader(), None, 0
-    edges = [0, *[edge for edge in (sum(lengths[:n + 1]) for n in range(len(lengths))) if edge < len(data)]]
+    edges = [0, *[edge for edge in (sum(lengths[: n + 1]) for n in range(len(lengths))) if edge < len(data)]]
     for start, end in pairwise([*edges, len(data)]):
         assert got is None, "whole before its last byte"
         got = reader.feed(data[start:end] + (behind if end == len(data) else b""))
@@ -72,15 +75,22 @@
     assert at == len(data) and got == Call("POST", "/control/x")
 
 
-@mark.parametrize(("data", "status"), [
-    (b"nonsense\r\n\r\n", 400), (b"GET  HTTP/1.1\r\n\r\n", 400), (b"GET / SPDY/3\r\n\r\n", 400),
-    (b"GET / HTTP/1.1\r\nno field\r\n\r\n", 400), (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
-    (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (LONGEST_BODY + 1), 413),
-    (b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
-    (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * (LONGEST_HEAD // 6), 431)])
+@mark.parametrize(
+    ("data", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET  HTTP/1.1\r\n\r\n", 400),
+        (b"GET / SPDY/3\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nno field\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\nA : b\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", 400),
+        (b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % (LONGEST_BODY + 1), 413),
+        (b"POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 413),
+        (b"GET / HTTP/1.1\r\n" + b"A: b\r\n" * (LONGEST_HEAD // 6), 431),
+    ],
+)
 def test_what_is_no_call_is_told_so(data: bytes, status: int) -> None:
     with raises(CallError) as raised:
         CallReader().feed(data)
@@ -125,12 +135,26 @@
 
 def test_without_control_nothing_listens_and_a_bad_one_is_one_line(tmp_path: Path) -> None:
     for bad in ("nowhere", "127.0.0.1:99999", 7, ""):
-        told = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", "seed": "1", "control": bad,
-                "limits": {"sockets": 512}, "known": {}, "settings": {"profiles": []}}
+        told = {
+            "name": "n",
+            "listen": "127.0.0.1:1",
+            "discovery": "127.0.0.1:1",
+            "seed": "1",
+            "control": bad,
+            "limits": {"sockets": 512},
+            "known": {},
+            "settings": {"profiles": []},
+        }
         path = tmp_path / "bad.json"
         path.write_text(json.dumps(told))
-        ended = subprocess.run([sys.executable, "-m", "cedarledge"], capture_output=True, text=True,
-                               timeout=20, env=os.environ | {"BALANCER_CONFIG": str(path)}, check=False)
+        ended = subprocess.run(
+            [sys.executable, "-m", "cedarledge"],
+            capture_output=True,
+            text=True,
+            timeout=20,
+            env=os.environ | {"BALANCER_CONFIG": str(path)},
+            check=False,
+        )
         assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "control: " in ended.stderr
     with Program(tmp_path, [Backend("a")]) as relay:
         assert len(listeners(relay.process.pid)) == 1
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -53,11 +53,14 @@
 # With times that a busy machine keeps too: setups have a third of a second, connections two, clients three.
 UNHURRIED = SETTINGS | {
     "allowed": SETTINGS["allowed"] | {"connect_timeout": 2_000_000},
-    "profiles": [row | {"setup_goal": 1_000_000, "client_timeout": 3_000_000}
-                 for row in SETTINGS["profiles"]]}
+    "profiles": [
+        row | {"setup_goal": 1_000_000, "client_timeout": 3_000_000} for row in SETTINGS["profiles"]
+    ],
+}
 # Where nothing hangs on how long a setup takes: looks have 0.75 s, setups a second and more.
-PATIENT = UNHURRIED | {"profiles": [row | {"setup_goal": 3_000_000, "client_timeout": 6_000_000}
-                                    for row in SETTINGS["profiles"]]}
+PATIENT = UNHURRIED | {
+    "profiles": [row | {"setup_goal": 3_000_000, "client_timeout": 6_000_000} for row in SETTINGS["profiles"]]
+}
 PUSHED = PATIENT | {"membership_mode": "push"}
 
 
@@ -83,11 +86,13 @@
     return len(gone.heads) - before
 
 
-@mark.parametrize("part", [b"", CHANGE[:14], CHANGE[:-9]],
-                  ids=["between calls", "in mid-head", "in mid-body"])
+@mark.parametrize(
+    "part", [b"", CHANGE[:14], CHANGE[:-9]], ids=["between calls", "in mid-head", "in mid-body"]
+)
 @mark.parametrize("settings", [PATIENT, PUSHED], ids=["asked", "pushed"])
 def test_a_silent_watch_is_opened_anew_before_what_it_missed_counts_as_told(
-        settings: dict, part: bytes, tmp_path: Path) -> None:
+    settings: dict, part: bytes, tmp_path: Path
+) -> None:
     """Waits of 20 s, and a new call 2 to 6 s after each was over, had drains followed seconds too late."""
     backends = [Backend("a"), Backend("b")]
     unhurried = settings | {"safety": settings["safety"] | {"ask_every": 10_000_000}}
@@ -117,7 +122,8 @@
 
 
 def test_a_pushed_list_is_heard_again_at_once_after_a_reset_and_after_its_service_was_down(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     """What the agent has counts as told the moment it is back, whether or not a watch is open."""
     backends = [Backend("a"), Backend("b")]
     with Program(tmp_path, backends, settings=PUSHED) as relay:
@@ -189,7 +195,7 @@
     def say(self, link: socket.socket, data: bytes) -> None:
         link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         for start in range(0, len(data), 7):
-            link.sendall(data[start:start + 7])
+            link.sendall(data[start : start + 7])
             time.sleep(0.001)  # or most would be read together
 
 
@@ -243,7 +249,8 @@
 @mark.parametrize("trouble", ["silent", "silent in mid-body", "down"])
 @mark.parametrize("settings", [PATIENT, PUSHED], ids=["asked", "pushed"])
 def test_sighup_in_any_trouble_of_the_list_follows_the_other_address(
-        settings: dict, trouble: str, tmp_path: Path) -> None:
+    settings: dict, trouble: str, tmp_path: Path
+) -> None:
     backends = [Backend("a"), Backend("b")]
     with Program(tmp_path, backends, settings=settings) as relay:
         until(lambda: relay.discovery.calls)
@@ -267,7 +274,8 @@
 
 @mark.parametrize("settings", [PATIENT, PUSHED], ids=["asked", "pushed"])
 def test_a_new_address_that_says_nothing_is_asked_anew_before_what_it_has_counts(
-        settings: dict, tmp_path: Path) -> None:
+    settings: dict, tmp_path: Path
+) -> None:
     """The silent call for the whole list was taken for a failed one: made again 6 to 10 s after SIGHUP."""
     backends = [Backend("a"), Backend("b")]
     unhurried = settings | {"safety": settings["safety"] | {"ask_every": 10_000_000}}
@@ -452,8 +460,12 @@
         assert ends(relay) == 0
 
 
-STARTS = ["relay Relay __init__ before", "relay Relay __init__ after", "relay Relay open before",
-          "clients Listener open after"]
+STARTS = [
+    "relay Relay __init__ before",
+    "relay Relay __init__ after",
+    "relay Relay open before",
+    "clients Listener open after",
+]
 
 
 @mark.parametrize("place", STARTS)
@@ -535,8 +547,11 @@
 
 def stopping(place: str) -> list[str]:
     """The command of a relay that stops itself at a place; see stopping_relay.py."""
-    return [sys.executable, str(Path(__file__).with_name("stopping_relay.py")),
-            *f"cedarledge.net.{place}".split()]
+    return [
+        sys.executable,
+        str(Path(__file__).with_name("stopping_relay.py")),
+        *f"cedarledge.net.{place}".split(),
+    ]
 
 
 class Stopping(Program):
@@ -565,11 +580,19 @@
 
 
 @mark.parametrize("abrupt", [False, True], ids=["fin", "reset"])
-@mark.parametrize("place", ["tunnels Tunnels arrived before", "tunnels Tunnels arrived after",
-                            "backends SetupLink connect after", "backends SetupLink came_up before",
-                            "backends SetupLink came_up after"])
+@mark.parametrize(
+    "place",
+    [
+        "tunnels Tunnels arrived before",
+        "tunnels Tunnels arrived after",
+        "backends SetupLink connect after",
+        "backends SetupLink came_up before",
+        "backends SetupLink came_up after",
+    ],
+)
 def test_who_leaves_while_the_process_is_paused_is_not_sent_on(
-        place: str, abrupt: bool, tmp_path: Path) -> None:
+    place: str, abrupt: bool, tmp_path: Path
+) -> None:
     """The line waited for the reactor's next turn, and went out in it whatever the client had done since."""
     backend = Backend("a")
     with Stopping(tmp_path, [backend], place.split(), settings=UNHURRIED) as relay:
@@ -696,8 +719,10 @@
 @mark.parametrize("leaves", [True, False])
 def test_who_leaves_during_a_connect_that_comes_up_late_is_not_sent_on(leaves: bool, tmp_path: Path) -> None:
     """And who stays is: the system makes the connection a second later."""
-    told = UNHURRIED | {"allowed": UNHURRIED["allowed"] | {"probes": False},
-                        "profiles": [row | {"setup_goal": 3_000_000} for row in UNHURRIED["profiles"]]}
+    told = UNHURRIED | {
+        "allowed": UNHURRIED["allowed"] | {"probes": False},
+        "profiles": [row | {"setup_goal": 3_000_000} for row in UNHURRIED["profiles"]],
+    }
     backend = Backend("a")
     with full_queue() as late:
         backend.address = "{}:{}".format(*late.getsockname())
@@ -812,7 +837,8 @@
 
 @mark.parametrize("abrupt", [False, True], ids=["fin", "reset"])
 def test_a_kept_connection_that_its_backend_closes_is_no_sign_against_the_backend(
-        abrupt: bool, tmp_path: Path, monkeypatch: MonkeyPatch) -> None:
+    abrupt: bool, tmp_path: Path, monkeypatch: MonkeyPatch
+) -> None:
     """It was taken for one that does not answer, and got no newcomers for two seconds."""
     monkeypatch.setenv("LOGURU_LEVEL", "DEBUG")
     backend = Closing("a", abrupt)
@@ -851,7 +877,8 @@
 
 @mark.parametrize("kind", [Endless, Mute])
 def test_answers_without_end_or_beginning_and_clients_that_send_much_cost_nothing_lasting(
-        kind: type[Backend], tmp_path: Path) -> None:
+    kind: type[Backend], tmp_path: Path
+) -> None:
     bad, good = kind("a"), Backend("b")
     with Program(tmp_path, [bad, good], settings=UNHURRIED) as relay:
         assert relay.client().open(names="c=feed,d=3000") == "UP r"
@@ -873,12 +900,19 @@
 
 # -- repeated attempts -----------------------------------------------------------------------------
 
-EFFECTS = UNHURRIED | {"profiles": [
-    *UNHURRIED["profiles"], UNHURRIED["profiles"][0] | {"name": "mark", "semantics": "token"}]}
+EFFECTS = UNHURRIED | {
+    "profiles": [*UNHURRIED["profiles"], UNHURRIED["profiles"][0] | {"name": "mark", "semantics": "token"}]
+}
 # What its backend says as the setup's time is over, and who may be set up once more behind it.
-LATE_WORDS = {"UP late": (), "BUSY": ("feed", "bill", "mark"), "ERR": ("feed", "mark"),
-              "WHAT": ("feed", "mark"), "reset": ("feed", "mark"), "ERR|UP late": ("feed", "mark"),
-              "BUSY|BUSY|UP late": ("feed", "bill", "mark")}
+LATE_WORDS = {
+    "UP late": (),
+    "BUSY": ("feed", "bill", "mark"),
+    "ERR": ("feed", "mark"),
+    "WHAT": ("feed", "mark"),
+    "reset": ("feed", "mark"),
+    "ERR|UP late": ("feed", "mark"),
+    "BUSY|BUSY|UP late": ("feed", "bill", "mark"),
+}
 
 
 def late_word(relay: Program, word: str, name: str, beside: str = "") -> tuple[Client, list[Backend]]:
@@ -911,9 +945,11 @@
 @mark.parametrize("name", ["feed", "bill", "mark"])
 @mark.parametrize("word", LATE_WORDS)
 def test_a_word_that_comes_as_the_time_is_over_counts_for_what_it_says(
-        word: str, name: str, tmp_path: Path) -> None:
-    with Stopping(tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(),
-                  settings=EFFECTS) as relay:
+    word: str, name: str, tmp_path: Path
+) -> None:
+    with Stopping(
+        tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(), settings=EFFECTS
+    ) as relay:
         client, (first, other) = late_word(relay, word, name)
         again = name in LATE_WORDS[word]
         assert client.hear() == ("UP late" if word.startswith("UP") else "UP r" if again else "ERR")
@@ -925,9 +961,11 @@
 @mark.parametrize("beside", ["drains", "leaves", "resets"])
 @mark.parametrize("word", ["BUSY", "reset"])
 def test_with_the_others_drain_or_the_clients_end_in_the_same_turn_nothing_more_goes_out(
-        word: str, beside: str, tmp_path: Path) -> None:
-    with Stopping(tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(),
-                  settings=EFFECTS) as relay:
+    word: str, beside: str, tmp_path: Path
+) -> None:
+    with Stopping(
+        tmp_path, [Backend("a", "hang"), Backend("b", "hang")], WRITTEN.split(), settings=EFFECTS
+    ) as relay:
         client, (first, other) = late_word(relay, word, "feed", beside)
         if beside == "drains":
             assert client.hear() in ("BUSY", "ERR") and client.hear() == ""
@@ -940,7 +978,8 @@
 
 @mark.parametrize("name", ["feed", "bill", "mark"])
 def test_a_wait_shorter_than_the_connect_is_answered_and_nothing_goes_out_after_it(
-        name: str, tmp_path: Path) -> None:
+    name: str, tmp_path: Path
+) -> None:
     told = EFFECTS | {"allowed": EFFECTS["allowed"] | {"probes": False}}
     backend = Backend("a")
     with full_queue() as late:
@@ -951,6 +990,7 @@
             assert time.monotonic() - start < 1, "before the connection could come up"
             assert not line_at(late)
 
+
 # -- one process after the other -------------------------------------------------------------------
 
 
@@ -977,14 +1017,20 @@
     assert [process.wait(timeout=5) for process in living] == [0] * len(living)
 
 
-STEPS = ["relay Relay open before", "handover Handover take_over after", "clients Listener open before",
-         "clients Listener open after", "handover Handover listen after"]
+STEPS = [
+    "relay Relay open before",
+    "handover Handover take_over after",
+    "clients Listener open before",
+    "clients Listener open after",
+    "handover Handover listen after",
+]
 
 
 @mark.parametrize("end", ["late", "told to end", "killed"])
 @mark.parametrize("place", STEPS)
 def test_a_new_process_that_stops_or_dies_between_its_steps_costs_nobody(
-        place: str, end: str, tmp_path: Path) -> None:
+    place: str, end: str, tmp_path: Path
+) -> None:
     backend = Backend("a")
     with Steps(tmp_path, [backend], "", place) as relay:
         until(relay.ready)
@@ -1012,7 +1058,8 @@
 @mark.parametrize("end", ["late", "killed"])
 @mark.parametrize("place", ["_asked before", "_asked after", "_taken before", "_taken after"])
 def test_an_old_process_that_stops_or_dies_between_its_steps_costs_no_newcomer(
-        place: str, end: str, tmp_path: Path) -> None:
+    place: str, end: str, tmp_path: Path
+) -> None:
     with Steps(tmp_path, [Backend("a")], f"handover Handover {place}") as relay:
         until(relay.ready)
         before = relay.client()
@@ -1076,8 +1123,10 @@
 def test_an_operators_call_that_came_while_the_process_was_paused_is_answered(tmp_path: Path) -> None:
     control = free_address()
     host, _, port = control.rpartition(":")
-    with Program(tmp_path, [Backend("a")], control=control) as relay, socket.create_connection(
-            (host, int(port)), timeout=5) as caller:
+    with (
+        Program(tmp_path, [Backend("a")], control=control) as relay,
+        socket.create_connection((host, int(port)), timeout=5) as caller,
+    ):
         caller.sendall(b"GET /control/re")
         until(relay.answers)
         relay.pause()
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -24,8 +24,12 @@
 
 # With all that the pages name and the program reads.
 WHOLE: dict[str, Any] = copy.deepcopy(SETTINGS) | {
-    "me": 0, "overage_credit": 0.1, "prices": {"cross_zone": 0.01}, "client_habits": {"marks_retry": True},
-    "tenants": [{"name": "one", "quota_per_s": 3}, {"name": "two", "quota_per_s": 0}]}
+    "me": 0,
+    "overage_credit": 0.1,
+    "prices": {"cross_zone": 0.01},
+    "client_habits": {"marks_retry": True},
+    "tenants": [{"name": "one", "quota_per_s": 3}, {"name": "two", "quota_per_s": 0}],
+}
 WHOLE["allowed"] |= {"max_retry_after": 2_000_000, "retry_after": True, "second_copies": False}
 WHOLE["domain"] |= {"tenant_quota_connections": [10.0, 0.0], "tells_load": True, "mode": "proxy"}
 WHOLE["profiles"].append(WHOLE["profiles"][0] | {"name": "7", "semantics": "token", "group": "cell"})
@@ -67,11 +71,30 @@
     """A relay on a clock of its own, with a cold member among warm ones."""
     reactor = MemoryReactorClock()
     monkeypatch.setattr(relays, "steady_clock", lambda: lambda: round((reactor.seconds() + 1e9) * SECOND))
-    members = [{"id": f"s-{ep}", "host_port": f"127.0.0.1:{9000 + ep}", "cell": ep % 2, "phase": "up",
-                "up_since_ms": 1_000_000_003_000 * (ep == 2)} for ep in range(len(LOADS))]
-    return relays.Relay(reactor, StartingOrders(
-        "n", ("127.0.0.1", 9), ("127.0.0.1", 8), None, None, 1, 512, {"revision": 1, "members": members},
-        told)), reactor
+    members = [
+        {
+            "id": f"s-{ep}",
+            "host_port": f"127.0.0.1:{9000 + ep}",
+            "cell": ep % 2,
+            "phase": "up",
+            "up_since_ms": 1_000_000_003_000 * (ep == 2),
+        }
+        for ep in range(len(LOADS))
+    ]
+    return relays.Relay(
+        reactor,
+        StartingOrders(
+            "n",
+            ("127.0.0.1", 9),
+            ("127.0.0.1", 8),
+            None,
+            None,
+            1,
+            512,
+            {"revision": 1, "members": members},
+            told,
+        ),
+    ), reactor
 
 
 def play(told: dict[str, Any], monkeypatch: MonkeyPatch) -> None:
@@ -80,8 +103,10 @@
     heard = logger.add(lambda message: faults.append(str(message)), level="ERROR")
     try:
         relay, reactor = assembled(told, monkeypatch)
-        rows = [(row["name"], max(1, min(900, int(row["client_timeout"] or 900_000) // 1000)))
-                for row in told["profiles"]]
+        rows = [
+            (row["name"], max(1, min(900, int(row["client_timeout"] or 900_000) // 1000)))
+            for row in told["profiles"]
+        ]
         clients = []
         for number in range(ROUNDS):
             reactor.advance(0.25)
@@ -89,8 +114,10 @@
                 relay.probe_over(ep, True, LoadReport(asked=load))
             clients.append(Client())
             name, wait = rows[number % len(rows)]
-            relay.tunnels.arrived(clients[-1], read_opening(
-                f"OPEN i{number} k{number} c={name},d={wait},g=g{number % 3}".encode()))
+            relay.tunnels.arrived(
+                clients[-1],
+                read_opening(f"OPEN i{number} k{number} c={name},d={wait},g=g{number % 3}".encode()),
+            )
         relay.stop()
         for _ in range(30):
             reactor.advance(0.2)
@@ -127,7 +154,8 @@
         told = copy.deepcopy(WHOLE)
         changed(told, place, None)
         in_row = place[0] in ("profiles", "tenants") and (
-            len(place) == 2 or place[-1] in (*NEEDED_OF_PROFILES, "name"))
+            len(place) == 2 or place[-1] in (*NEEDED_OF_PROFILES, "name")
+        )
         if place in needed or in_row or place in (("profiles",), ("dcs", 0)):
             with raises(ValueError, match=r"settings\."):
                 check_settings(told)
@@ -144,7 +172,8 @@
 @mark.parametrize("held", [0, 1])
 @mark.parametrize("deadline", [1, 100, 400, 1500, 9000])
 def test_a_relay_ends_before_it_is_killed_however_short_its_deadlines(
-        deadline: int, held: int, monkeypatch: MonkeyPatch) -> None:
+    deadline: int, held: int, monkeypatch: MonkeyPatch
+) -> None:
     """It waited a second for newcomers where it is killed after 0.8 s, and a second more for whoever had had
     the last word and did not end its side. Newcomers come for 0.4 s."""
     told = WHOLE | {"profiles": [row | {"client_timeout": deadline * 1000} for row in WHOLE["profiles"]]}
@@ -160,14 +189,38 @@
     assert 0.4 <= spent < killed - 0.09, "the process has its own end before it"
 
 
-@mark.parametrize("other", [
-    {"allowed": {"most_setups": 1, "probes": False, "connect_timeout": 0}, "load_report": None},
-    {"membership_mode": "push", "group_size": None, "domain": None, "dcs": None, "zone": None,
-     "host_types": None, "prices": None},
-    {"profiles": [{"name": 7, "semantics": "token", "group": "zone", "window": 0, "credit": 0,
-                   "setup_goal": 0, "client_timeout": 0}], "dcs": [1, 0], "zone": 0},
-    {"safety": {"cold_from": 0, "warm_within": 0, "fall_multiple": 0, "overload_for": 0, "ask_every": 1}},
-], ids=["no probes, one setup, no limit", "pushed, little told", "numbers for names, no times", "no safety"])
+@mark.parametrize(
+    "other",
+    [
+        {"allowed": {"most_setups": 1, "probes": False, "connect_timeout": 0}, "load_report": None},
+        {
+            "membership_mode": "push",
+            "group_size": None,
+            "domain": None,
+            "dcs": None,
+            "zone": None,
+            "host_types": None,
+            "prices": None,
+        },
+        {
+            "profiles": [
+                {
+                    "name": 7,
+                    "semantics": "token",
+                    "group": "zone",
+                    "window": 0,
+                    "credit": 0,
+                    "setup_goal": 0,
+                    "client_timeout": 0,
+                }
+            ],
+            "dcs": [1, 0],
+            "zone": 0,
+        },
+        {"safety": {"cold_from": 0, "warm_within": 0, "fall_multiple": 0, "overload_for": 0, "ask_every": 1}},
+    ],
+    ids=["no probes, one setup, no limit", "pushed, little told", "numbers for names, no times", "no safety"],
+)
 def test_a_started_relay_serves_another_customer(other: dict, tmp_path: Path) -> None:
     told = SETTINGS | other
     name = told["profiles"][0]["name"]
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -38,11 +38,17 @@
     def start(self) -> None:
         self.controls.append(free_address())
         self.process = subprocess.Popen(
-            self.command(), stderr=self.log.open("ab"),
+            self.command(),
+            stderr=self.log.open("ab"),
             pass_fds=[self.listening.fileno()],
-            env=os.environ | {"BALANCER_CONFIG": str(self.path), "BALANCER_CONTROL": self.controls[-1],
-                              "BALANCER_LISTEN_FD": str(self.listening.fileno()),
-                              "TMPDIR": str(self.folder)})
+            env=os.environ
+            | {
+                "BALANCER_CONFIG": str(self.path),
+                "BALANCER_CONTROL": self.controls[-1],
+                "BALANCER_LISTEN_FD": str(self.listening.fileno()),
+                "TMPDIR": str(self.folder),
+            },
+        )
         self.processes.append(self.process)
 
     def next(self) -> float:
@@ -108,8 +114,11 @@
 def test_clients_who_come_throughout_are_all_served_and_those_before_are_moved(tmp_path: Path) -> None:
     backend = Backend("a")
     # A setup that lasts a tenth of a second may be tried again, and on a busy machine some do.
-    unhurried = SETTINGS | {"profiles": [row | {"setup_goal": 3_000_000, "client_timeout": 3_000_000}
-                                         for row in SETTINGS["profiles"]]}
+    unhurried = SETTINGS | {
+        "profiles": [
+            row | {"setup_goal": 3_000_000, "client_timeout": 3_000_000} for row in SETTINGS["profiles"]
+        ]
+    }
     with pair(tmp_path, backend, settings=unhurried) as relay:
         stream = Stream(relay)
         until(lambda: len(stream.answers) > 10)
@@ -157,7 +166,8 @@
 
 
 def test_the_new_process_is_killed_after_it_took_over_and_the_old_one_takes_clients_in_again(
-        tmp_path: Path) -> None:
+    tmp_path: Path,
+) -> None:
     with pair(tmp_path, Backend("a")) as relay:
         assert relay.next() < 6 and not relay.ready(0)
         relay.process.kill()
@@ -236,9 +246,17 @@
 def test_strangers_and_nonsense_on_the_way_between_processes_change_nothing(tmp_path: Path) -> None:
     with pair(tmp_path, Backend("a")) as relay:
         path = own_path(relay.folder, "n0", relay.process.pid)
-        for said in (b"\x00\xff\n", b"[1]\n", b'{"taken":true}\n', b'{"held":5000}\n', b'{"do":"offline"}\n',
-                     b'{"done":[1]}\n', b'{"version":99,"name":"n0"}\n', line_of(version=VERSION, name="n1"),
-                     b"{" * 200_000):
+        for said in (
+            b"\x00\xff\n",
+            b"[1]\n",
+            b'{"taken":true}\n',
+            b'{"held":5000}\n',
+            b'{"do":"offline"}\n',
+            b'{"done":[1]}\n',
+            b'{"version":99,"name":"n0"}\n',
+            line_of(version=VERSION, name="n1"),
+            b"{" * 200_000,
+        ):
             with closing(socket.socket(socket.AF_UNIX)) as link:
                 link.connect(str(path))
                 with suppress(OSError):
@@ -291,16 +309,35 @@
 
 
 def test_an_estate_is_checked() -> None:
-    good = {"until": 1, "revision": None, "members": [], "banned": {"a": 1}, "back": {}, "away": False,
-            "ids": ["x"], "held": 3, "beliefs": {}}
+    good = {
+        "until": 1,
+        "revision": None,
+        "members": [],
+        "banned": {"a": 1},
+        "back": {},
+        "away": False,
+        "ids": ["x"],
+        "held": 3,
+        "beliefs": {},
+    }
 
     def told(**other: object) -> bytes:
         return json.dumps({"version": VERSION, "estate": good | other}).encode()
 
     assert read_estate(told()).banned == {"a": 1}
-    for other in ({"until": "1"}, {"revision": 1.5}, {"members": [1]}, {"banned": [1]}, {"away": 0},
-                  {"banned": {"a": "1"}}, {"back": 2}, {"ids": [2]}, {"held": None}, {"beliefs": []},
-                  {"more": 1}):
+    for other in (
+        {"until": "1"},
+        {"revision": 1.5},
+        {"members": [1]},
+        {"banned": [1]},
+        {"away": 0},
+        {"banned": {"a": "1"}},
+        {"back": 2},
+        {"ids": [2]},
+        {"held": None},
+        {"beliefs": []},
+        {"more": 1},
+    ):
         with raises(NotFollowedError):
             read_estate(told(**other))
     with raises(NotFollowedError):
@@ -313,9 +350,14 @@
     with pair(tmp_path, Backend("a")) as relay, closing(socket.socket()) as idle:
         for bad in ("x", "999", "9" * 30, str(idle.fileno())):
             ended = subprocess.run(
-                [sys.executable, "-m", "cedarledge"], capture_output=True, text=True, timeout=20, check=False,
+                [sys.executable, "-m", "cedarledge"],
+                capture_output=True,
+                text=True,
+                timeout=20,
+                check=False,
                 pass_fds=[idle.fileno()],
-                env=os.environ | {"BALANCER_CONFIG": str(relay.path), "BALANCER_LISTEN_FD": bad})
+                env=os.environ | {"BALANCER_CONFIG": str(relay.path), "BALANCER_LISTEN_FD": bad},
+            )
             assert ended.returncode == 2 and ended.stderr.count("\n") == 1 and "LISTEN_FD" in ended.stderr
 
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -179,14 +179,21 @@
 
 
 def test_a_dedup_group_is_what_its_profile_says() -> None:
-    boxes = tuple(msgspec.structs.replace(PLAN.boxes[0], cell=cell, zone=zone)
-                  for cell, zone in ((0, "z1"), (0, "z2"), (1, "z1")))
+    boxes = tuple(
+        msgspec.structs.replace(PLAN.boxes[0], cell=cell, zone=zone)
+        for cell, zone in ((0, "z1"), (0, "z2"), (1, "z1"))
+    )
     allowed = {"all": {1, 2}, "zone": {2}, "cell": {1}}
     for group, boxes_allowed in allowed.items():
         rows = tuple(msgspec.structs.replace(row, group=group) for row in PLAN.profiles)
         for box in (1, 2):
-            found = broken(call(profile=STATE), setup(0, "ERR", ended=SECOND + 17 * MS),
-                           setup(box, whole=SECOND + 20 * MS), boxes=boxes, profiles=rows)
+            found = broken(
+                call(profile=STATE),
+                setup(0, "ERR", ended=SECOND + 17 * MS),
+                setup(box, whole=SECOND + 20 * MS),
+                boxes=boxes,
+                profiles=rows,
+            )
             assert found == (set() if box in boxes_allowed else {"ran_twice"})
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -123,7 +123,9 @@
     "allowed": {"most_setups": 4, "connect_timeout": 150_000},
     "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3, "overload_for": 2_000_000},
     "profiles": [{"name": "feed", "setup_goal": 300_000, "client_timeout": 900_000, "credit": 1}],
-    "zone": "here", "dcs": ["here", "there"]}
+    "zone": "here",
+    "dcs": ["here", "there"],
+}
 
 
 def test_the_price_of_a_crossing_left_out_is_nothing_and_what_is_told_is_read() -> None:
@@ -135,18 +137,22 @@
 def test_settings_of_the_wrong_shape_are_named_by_their_place() -> None:
     check_settings(SETTINGS | {"prices": {"cross_zone": 1}, "group_size": 170})
     for place, told in (
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": "dear"}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": 1.5}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": True}}),
-            ("settings.prices", {"prices": 0.1}), ("settings.prices", {"prices": 0}),
-            ("settings.prices", {"prices": ""}), ("settings.domain", {"domain": False}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": False}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": ""}}),
-            ("settings.overage_credit", {"overage_credit": []}),
-            ("settings.overage_credit", {"overage_credit": 10**400}),
-            ("settings.zone", {"zone": "nowhere"}),
-            ("settings.domain.groups", {"domain": {"groups": "false"}}),
-            ("settings.group_size", {"group_size": 0}), ("settings.group_size", {"group_size": "4"})):
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": "dear"}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": 1.5}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": True}}),
+        ("settings.prices", {"prices": 0.1}),
+        ("settings.prices", {"prices": 0}),
+        ("settings.prices", {"prices": ""}),
+        ("settings.domain", {"domain": False}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": False}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": ""}}),
+        ("settings.overage_credit", {"overage_credit": []}),
+        ("settings.overage_credit", {"overage_credit": 10**400}),
+        ("settings.zone", {"zone": "nowhere"}),
+        ("settings.domain.groups", {"domain": {"groups": "false"}}),
+        ("settings.group_size", {"group_size": 0}),
+        ("settings.group_size", {"group_size": "4"}),
+    ):
         try:
             check_settings(SETTINGS | told)
         except ValueError as why:
@@ -157,6 +163,7 @@
 
 def test_what_alba_live_is_told_of_prices_changes_none_of_its_choices() -> None:
     """A price under a twentieth, and none: the same sends; a dear one: others."""
+
     def sends(**other: object) -> list[tuple[int, int, int]]:
         fleet = Fleet([{"relays": 4, "grouped": False, **other}] * 4)
         fleet.run(10 * SECOND, 20)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -43,11 +43,15 @@
 PLACES = st.lists(st.integers(0, 10_000), max_size=12)
 
 
-@given(lines=st.lists(st.binary(max_size=60).filter(lambda line: b"\r" not in line and b"\n" not in line)),
-       rest=st.binary(max_size=20).filter(lambda rest: b"\r" not in rest), places=PLACES)
+@given(
+    lines=st.lists(st.binary(max_size=60).filter(lambda line: b"\r" not in line and b"\n" not in line)),
+    rest=st.binary(max_size=20).filter(lambda rest: b"\r" not in rest),
+    places=PLACES,
+)
 @often
 def test_lines_come_out_whole_however_they_are_cut(
-        lines: list[bytes], rest: bytes, places: list[int]) -> None:
+    lines: list[bytes], rest: bytes, places: list[int]
+) -> None:
     pool = Pool(BUFFER_SIZE, 1)
     reader = Lines(pool)
     data = b"".join(line + b"\r\n" for line in lines) + rest
@@ -60,7 +64,9 @@
     for size in (1, 1000, LONGEST + 1):
         reader = Lines(Pool(BUFFER_SIZE, 1))
         data = b"x" * LONGEST + b"\r\n"
-        got = [line for start in range(0, len(data), size) for line in reader.feed(data[start:start + size])]
+        got = [
+            line for start in range(0, len(data), size) for line in reader.feed(data[start : start + size])
+        ]
         assert got == [b"x" * LONGEST]
         with raises(OverlongError):
             reader.feed(b"x" * (LONGEST + 1) + b"\r\n")
@@ -106,8 +112,7 @@
 
 @given(plan=st.lists(st.tuples(st.integers(0, 50), st.booleans(), st.integers(0, 9)), max_size=150))
 @often
-def test_deadlines_come_in_order_at_their_time_unless_cancelled(
-        plan: list[tuple[int, bool, int]]) -> None:
+def test_deadlines_come_in_order_at_their_time_unless_cancelled(plan: list[tuple[int, bool, int]]) -> None:
     clock = Clock()
     deadlines = Deadlines(clock, lambda: int(clock.seconds()) * SECOND)
     due: list[tuple[int, int]] = []
@@ -203,11 +208,15 @@
 
     deadlines = Deadlines(reactor, now)
     means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
-    watcher = SimpleNamespace(may_send=lambda *_: True, client_waits=lambda _: 2 * SECOND,
-                              client_has_left=lambda _: False,
-                              setup_over=lambda *args: outcomes.append(args[2]))
-    backends = Backends(means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND,
-                        b"PING")
+    watcher = SimpleNamespace(
+        may_send=lambda *_: True,
+        client_waits=lambda _: 2 * SECOND,
+        client_has_left=lambda _: False,
+        setup_over=lambda *args: outcomes.append(args[2]),
+    )
+    backends = Backends(
+        means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND, b"PING"
+    )
     backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
     return reactor, outcomes
 
@@ -240,11 +249,18 @@
     assert outcomes == [Outcome.CONNECT_FAILED] and transport.disconnected
 
 
-@mark.parametrize(("takes", "later", "outcome"), [
-    (99, False, Outcome.RESET), (3, True, Outcome.RESET), (5, False, Outcome.CONNECT_FAILED),
-    (0, False, Outcome.CONNECT_FAILED)])
+@mark.parametrize(
+    ("takes", "later", "outcome"),
+    [
+        (99, False, Outcome.RESET),
+        (3, True, Outcome.RESET),
+        (5, False, Outcome.CONNECT_FAILED),
+        (0, False, Outcome.CONNECT_FAILED),
+    ],
+)
 def test_a_reset_as_the_last_byte_is_written_counts_by_what_the_system_took(
-        takes: int, later: bool, outcome: Outcome) -> None:
+    takes: int, later: bool, outcome: Outcome
+) -> None:
     reactor, outcomes = set_up()
     link, transport = comes_up(reactor, takes)
     if later:
@@ -261,8 +277,17 @@
 
     deadlines = Deadlines(reactor, now)
     means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
-    backends = Backends(means, SimpleNamespace(), lambda *args: told.append(args[1]), ReportReader({}),
-                        Paces(1), 150 * MS, SECOND, SECOND, b"PING")
+    backends = Backends(
+        means,
+        SimpleNamespace(),
+        lambda *args: told.append(args[1]),
+        ReportReader({}),
+        Paces(1),
+        150 * MS,
+        SECOND,
+        SECOND,
+        b"PING",
+    )
     for number in range(2):
         backends.probe(0, ("127.0.0.1", 9))
         link, transport = reactor.tcpClients[number][2].buildProtocol(None), Box()
@@ -276,8 +301,10 @@
     assert told == [True, True] and not means.links.used
 
 
-CHUNKED = (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-           b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n")
+CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"4\r\nabcd\r\n3;x=y\r\nefg\r\n0\r\nTrailer: t\r\n\r\n"
+)
 
 
 @given(bodies=st.lists(st.binary(max_size=40), max_size=3), places=PLACES)
@@ -299,8 +326,9 @@
     assert HttpReader().end() is None
 
 
-@given(noise=st.binary(min_size=1, max_size=80),
-       start=st.sampled_from([b"", b"HTTP/1.1 200", http(b"")[:-2]]))
+@given(
+    noise=st.binary(min_size=1, max_size=80), start=st.sampled_from([b"", b"HTTP/1.1 200", http(b"")[:-2]])
+)
 @often
 def test_what_is_no_answer_raises_nothing_else(noise: bytes, start: bytes) -> None:
     with suppress(HttpError):
@@ -309,18 +337,49 @@
 
 def test_answers_past_all_measure_are_not_read_on() -> None:
     head, chunks, _ = CHUNKED.partition(b"4\r\n")
-    for data in (b"x" * 20_000, b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
-                 head + b"fffffffff\r\n", head + chunks + b"abcdef\r\n",
-                 b"HTTP/1.1 200 OK\r\nnothing\r\n\r\n"):
+    for data in (
+        b"x" * 20_000,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+        head + b"fffffffff\r\n",
+        head + chunks + b"abcdef\r\n",
+        b"HTTP/1.1 200 OK\r\nnothing\r\n\r\n",
+    ):
         with raises(HttpError):
             HttpReader().feed(data)
 
 
-@given(line=st.one_of(st.binary(max_size=60), st.builds(
-    lambda names, key: f"OPEN 1 {key} {','.join(names)}".encode(), st.lists(st.sampled_from(
-        ["c=feed", "d=40", "d=x", "d=-1",
-         "d=0", "d=7777777777", "h=inf", "h=2.5", "h=-2", "h=1e300", "r=1", "again=1", "at=b", "g=",
-         "g=" + "g" * 999, "=", ""])), st.sampled_from(["k", "", "a/b", "\u00e9", "k" * 999]))))
+@given(
+    line=st.one_of(
+        st.binary(max_size=60),
+        st.builds(
+            lambda names, key: f"OPEN 1 {key} {','.join(names)}".encode(),
+            st.lists(
+                st.sampled_from(
+                    [
+                        "c=feed",
+                        "d=40",
+                        "d=x",
+                        "d=-1",
+                        "d=0",
+                        "d=7777777777",
+                        "h=inf",
+                        "h=2.5",
+                        "h=-2",
+                        "h=1e300",
+                        "r=1",
+                        "again=1",
+                        "at=b",
+                        "g=",
+                        "g=" + "g" * 999,
+                        "=",
+                        "",
+                    ]
+                )
+            ),
+            st.sampled_from(["k", "", "a/b", "\u00e9", "k" * 999]),
+        ),
+    )
+)
 @often
 def test_an_opening_is_read_or_malformed(line: bytes) -> None:
     try:
@@ -401,4 +460,9 @@
     line = b"OPEN 9b1f03aa5c7e2d41 7f3a9c21e0b4d655 c=chat,d=2000,g=5c0f6e1a2b3d4c59"
     opening = read_opening(line)
     assert (opening.profile, opening.key, opening.wait, opening.group, opening.at) == (
-        "chat", "7f3a9c21e0b4d655", 2 * SECOND, "5c0f6e1a2b3d4c59", None)
+        "chat",
+        "7f3a9c21e0b4d655",
+        2 * SECOND,
+        "5c0f6e1a2b3d4c59",
+        None,
+    )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -130,8 +130,12 @@
 
 def test_the_watch_goes_on_from_what_is_known_and_survives_a_broken_service(tmp_path: Path) -> None:
     backend, late = Backend("a"), Backend("b")
-    broken = (b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", b"no http\r\n\r\n", http(b"{}}"),
-              http(b'{"revision":99,"complete":true,"members":[{"id":"a"}]}'))
+    broken = (
+        b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+        b"no http\r\n\r\n",
+        http(b"{}}"),
+        http(b'{"revision":99,"complete":true,"members":[{"id":"a"}]}'),
+    )
     with Program(tmp_path, [backend]) as relay:
         discovery = relay.discovery
         until(lambda: len(discovery.calls) == 1)
@@ -169,7 +173,8 @@
 
 @mark.parametrize("lie", [{"back": 3}, {"twice": True}])
 def test_a_discovery_that_is_out_of_step_is_followed_without_a_rush_of_calls(
-        lie: dict[str, int], tmp_path: Path) -> None:
+    lie: dict[str, int], tmp_path: Path
+) -> None:
     backends = [Backend("s-a"), Backend("s-b")]
     with Program(tmp_path, backends) as program:
         discovery = program.discovery
@@ -195,13 +200,27 @@
 def test_bad_input_is_answered_closed_and_survived(tmp_path: Path) -> None:
     backends = [Backend(name) for name in "abcdef"]
     with Program(tmp_path, backends) as relay:
-        for line in (b"OPEN 1 k c=none,d=9\r\n", b"OPEN 1 k c=feed\r\n", b"OPEN 1 k d=9\r\n", b"OPEN 1\r\n",
-                     b"\r\n", b"OPEN 1 k c=feed,d=9,h=nan\r\n", b"\xff\xfe\r\n", b"x" * 5000,
-                     b"GET / HTTP/1.1\r\n\r\n", b"OPEN k c=feed,d=900\r\n", b"OPEN 1 k c=feed,d=0\r\n",
-                     b"OPEN 1 k c=feed,d=-5\r\n", b"OPEN 1 k c=feed,d=soon\r\n",
-                     b"OPEN 1 k c=feed,d=4294967\r\n", b"OPEN 1 k c=feed,d=9,d=900\r\n",
-                     b"OPEN 1 k c=feed,d=900\r\nM 1\r\n",
-                     b"OPEN 1 k c=feed,d=900\r\nM", b"OPEN 1 k c=feed,d=900\r\n" * 300, b"PING\r\n" * 300):
+        for line in (
+            b"OPEN 1 k c=none,d=9\r\n",
+            b"OPEN 1 k c=feed\r\n",
+            b"OPEN 1 k d=9\r\n",
+            b"OPEN 1\r\n",
+            b"\r\n",
+            b"OPEN 1 k c=feed,d=9,h=nan\r\n",
+            b"\xff\xfe\r\n",
+            b"x" * 5000,
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"OPEN k c=feed,d=900\r\n",
+            b"OPEN 1 k c=feed,d=0\r\n",
+            b"OPEN 1 k c=feed,d=-5\r\n",
+            b"OPEN 1 k c=feed,d=soon\r\n",
+            b"OPEN 1 k c=feed,d=4294967\r\n",
+            b"OPEN 1 k c=feed,d=9,d=900\r\n",
+            b"OPEN 1 k c=feed,d=900\r\nM 1\r\n",
+            b"OPEN 1 k c=feed,d=900\r\nM",
+            b"OPEN 1 k c=feed,d=900\r\n" * 300,
+            b"PING\r\n" * 300,
+        ):
             client = relay.client()
             client.link.sendall(line)
             assert client.hear() == "ERR" and client.hear() in ("", "reset"), line
@@ -244,8 +263,9 @@
     with Program(tmp_path, [Backend("a"), Backend("b")]) as relay:
         clients = [relay.client() for _ in range(8)]
         names = ("c=feed,d=1500", "c=feed,d=1500,again=1")
-        assert all(client.open(str(number), names[number % 2]) == "UP r"
-                   for number, client in enumerate(clients))
+        assert all(
+            client.open(str(number), names[number % 2]) == "UP r" for number, client in enumerate(clients)
+        )
         relay.ask_to_stop()
         time.sleep(0.6)
         assert [client.say("M 1") for client in clients] == ["M 1"] * 8
@@ -268,8 +288,9 @@
         relay.start()
         until(relay.answers)
         again = [relay.client() for _ in range(6)]
-        assert [client.open(str(number), "c=feed,d=1500,r=1,again=1")
-                for number, client in enumerate(again)] == ["UP r"] * 6
+        assert [
+            client.open(str(number), "c=feed,d=1500,r=1,again=1") for number, client in enumerate(again)
+        ] == ["UP r"] * 6
         relay.discovery.broken = None
         relay.discovery.tell(backends[0].entry("removed"))
         until(lambda: any("since=8&" in target for _, target in relay.discovery.calls))
@@ -430,13 +451,27 @@
 
 def test_a_bad_configuration_is_one_plain_line(tmp_path: Path) -> None:
     path = tmp_path / "told.json"
-    good = ('{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
-            '"limits":{"sockets":900},"known":{"revision":0,"members":[]},"settings":{}}')
-    for text in ("", "{}", "[]", good, good.replace('"127.0.0.1:9"', '"nowhere"', 1),
-                 good.replace('"members":[]', '"members":5'),
-                 good.replace('"settings":{}', '"settings":{"prices":{"cross_zone":"dear"}}')):
+    good = (
+        '{"name":"n","listen":"127.0.0.1:9","discovery":"127.0.0.1:9","seed":"0",'
+        '"limits":{"sockets":900},"known":{"revision":0,"members":[]},"settings":{}}'
+    )
+    for text in (
+        "",
+        "{}",
+        "[]",
+        good,
+        good.replace('"127.0.0.1:9"', '"nowhere"', 1),
+        good.replace('"members":[]', '"members":5'),
+        good.replace('"settings":{}', '"settings":{"prices":{"cross_zone":"dear"}}'),
+    ):
         path.write_text(text)
-        run = subprocess.run([sys.executable, "-m", "cedarledge"], env={"BALANCER_CONFIG": str(path)},
-                             capture_output=True, timeout=20, check=False, text=True)
+        run = subprocess.run(
+            [sys.executable, "-m", "cedarledge"],
+            env={"BALANCER_CONFIG": str(path)},
+            capture_output=True,
+            timeout=20,
+            check=False,
+            text=True,
+        )
         assert run.returncode == 2 and run.stderr.startswith("cedarledge: ") and run.stderr.count("\n") == 1
     assert "settings.prices.cross_zone: " in run.stderr
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -14,28 +14,69 @@
 
 
 class Days(RuleBasedStateMachine):
-    @initialize(seed=st.integers(0, 99), ask=st.booleans(), ranked=st.booleans(), grouped=st.booleans(),
-                setups=st.integers(1, 4), probes=st.booleans(), relays=st.integers(1, 4),
-                cells=st.integers(1, 4), window=st.sampled_from([100 * MS, 2 * SECOND]))
-    def begin(self, seed: int, ask: bool, ranked: bool, grouped: bool, setups: int, probes: bool,
-              relays: int, cells: int, window: int) -> None:
+    @initialize(
+        seed=st.integers(0, 99),
+        ask=st.booleans(),
+        ranked=st.booleans(),
+        grouped=st.booleans(),
+        setups=st.integers(1, 4),
+        probes=st.booleans(),
+        relays=st.integers(1, 4),
+        cells=st.integers(1, 4),
+        window=st.sampled_from([100 * MS, 2 * SECOND]),
+    )
+    def begin(
+        self,
+        seed: int,
+        ask: bool,
+        ranked: bool,
+        grouped: bool,
+        setups: int,
+        probes: bool,
+        relays: int,
+        cells: int,
+        window: int,
+    ) -> None:
         self.cells = cells
-        self.ledger = Ledger(facts(
-            window=window, seed=seed, must_ask=ask, ranked=ranked, grouped=grouped, most_setups=setups,
-            probes=probes, relays=relays, come_back_max=SECOND if ask else 0, quotas=(4.0, 4.0),
-            over_share_credit=0.1))
-        self.ledger.tell(ListForm.RESTORED,
-                         *(listed(ep, weight=1.0 + ep % 3, cells=cells) for ep in range(4)))
+        self.ledger = Ledger(
+            facts(
+                window=window,
+                seed=seed,
+                must_ask=ask,
+                ranked=ranked,
+                grouped=grouped,
+                most_setups=setups,
+                probes=probes,
+                relays=relays,
+                come_back_max=SECOND if ask else 0,
+                quotas=(4.0, 4.0),
+                over_share_credit=0.1,
+            )
+        )
+        self.ledger.tell(
+            ListForm.RESTORED, *(listed(ep, weight=1.0 + ep % 3, cells=cells) for ep in range(4))
+        )
 
     def out(self) -> list[int]:
-        return [tun for tun, case in self.ledger.cases.items()
-                if case.setups and case.setups[-1][2] is None]
-
-    @rule(profile=st.integers(0, 4), key=st.none() | st.sampled_from("abcdef"), budget=st.integers(1, 3000),
-          hint=st.none() | st.floats(1, 1e5), group=st.none() | st.sampled_from("gh"),
-          tenant=st.none() | st.integers(0, 1))
-    def arrive(self, profile: int, key: str | None, budget: int, hint: float | None, group: str | None,
-               tenant: int | None) -> None:
+        return [tun for tun, case in self.ledger.cases.items() if case.setups and case.setups[-1][2] is None]
+
+    @rule(
+        profile=st.integers(0, 4),
+        key=st.none() | st.sampled_from("abcdef"),
+        budget=st.integers(1, 3000),
+        hint=st.none() | st.floats(1, 1e5),
+        group=st.none() | st.sampled_from("gh"),
+        tenant=st.none() | st.integers(0, 1),
+    )
+    def arrive(
+        self,
+        profile: int,
+        key: str | None,
+        budget: int,
+        hint: float | None,
+        group: str | None,
+        tenant: int | None,
+    ) -> None:
         self.ledger.arrive(profile, key, budget * MS, hint, group, tenant)
 
     @precondition(lambda self: self.out())
@@ -97,16 +138,27 @@
             self.ledger.check()
 
 
-Days.TestCase.settings = settings(derandomize=True, max_examples=150, stateful_step_count=40, deadline=None,
-                                  suppress_health_check=list(HealthCheck))
+Days.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
 TestDays = Days.TestCase
 
 
-@given(load=st.floats(0.3, 0.9), relays=st.sampled_from([1, 4, 60]), rush=st.integers(5, 40),
-       age=st.integers(0, 6), seed=st.integers(0, 99))
+@given(
+    load=st.floats(0.3, 0.9),
+    relays=st.sampled_from([1, 4, 60]),
+    rush=st.integers(5, 40),
+    age=st.integers(0, 6),
+    seed=st.integers(0, 99),
+)
 @settings(derandomize=True, max_examples=25, deadline=None)
 def test_all_relays_together_stay_under_a_cold_backends_multiple(
-        load: float, relays: int, rush: int, age: int, seed: int) -> None:
+    load: float, relays: int, rush: int, age: int, seed: int
+) -> None:
     ledgers = [fleet(4, load, relays=relays, me=me, seed=seed * relays + me) for me in range(relays)]
     held = 160  # by all relays, so a member that is full holds 40 / load
     for tun in range(held):
@@ -127,8 +179,9 @@
             ledger.open(tun)
             if ledger.cases[tun].setups[-1][0] != 9:
                 ledger.end(tun, Outcome.DONE)
-    sends = sorted(at for ledger in ledgers for at, _, ep in ledger.sends
-                   if ep == 9 and at < started + site.warm_within)
+    sends = sorted(
+        at for ledger in ledgers for at, _, ep in ledger.sends if ep == 9 and at < started + site.warm_within
+    )
     assert sends, "the budget is there to be used"
     for at in sends:
         share = site.cold_from + (1 - site.cold_from) * (at - started) / site.warm_within
@@ -136,11 +189,17 @@
         assert sum(at - site.fall_span < other <= at for other in sends) <= budget
 
 
-@given(size=st.sampled_from([0, 1, 400]), relays=st.sampled_from([1, 300]), me=st.integers(0, 600),
-       cells=st.sampled_from([1, 50]), gone=st.integers(0, 7))
+@given(
+    size=st.sampled_from([0, 1, 400]),
+    relays=st.sampled_from([1, 300]),
+    me=st.integers(0, 600),
+    cells=st.sampled_from([1, 50]),
+    gone=st.integers(0, 7),
+)
 @settings(derandomize=True, max_examples=20, deadline=None)
 def test_lists_of_any_size_and_changes_in_bulk_keep_the_rules(
-        size: int, relays: int, me: int, cells: int, gone: int) -> None:
+    size: int, relays: int, me: int, cells: int, gone: int
+) -> None:
     ledger = fleet(size, None, cells=cells, relays=relays, me=me)
     for turn in range(4):
         for number in range(10):
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -110,10 +110,12 @@
         self.module = Module(self.now, deadlines)
         self.boxes = BoxList(self.module, hearers, {})
         profiles = {"a": 0, "b": 1, "c": 2}
-        self.tunnels = Tunnels(means, self.module, self.boxes, hearers, MOST, profiles, {}, [SECOND] * 3,
-                               150 * MS)
-        self.tunnels.join(self, Echoes(self.now, deadlines, Delays(self.now, 0, lambda *_: None),
-                                       self.tunnels.silent))
+        self.tunnels = Tunnels(
+            means, self.module, self.boxes, hearers, MOST, profiles, {}, [SECOND] * 3, 150 * MS
+        )
+        self.tunnels.join(
+            self, Echoes(self.now, deadlines, Delays(self.now, 0, lambda *_: None), self.tunnels.silent)
+        )
         self.module.join(self.tunnels, self, self.boxes, self)
         self.deadlines = deadlines
         self.out: dict[int, SetupStub] = {}
@@ -158,8 +160,11 @@
         client.tun = self.tunnels.arrived(client, read_opening(line.encode()))
 
     def _setup(self, pick: int, is_open: bool) -> int | None:
-        tuns = [tun for tun, setup in self.out.items()
-                if not setup.over and bool(self.tunnels.table.get(tun).up) == is_open]
+        tuns = [
+            tun
+            for tun, setup in self.out.items()
+            if not setup.over and bool(self.tunnels.table.get(tun).up) == is_open
+        ]
         return tuns[pick % len(tuns)] if tuns else None
 
     def comes_up(self, pick: int) -> None:
@@ -214,26 +219,40 @@
 
 
 def check_answers(client: Client) -> None:
-    assert client.said in ([], ["UP"], ["BUSY"], ["ERR"], ["LEFT"], ["UP", "MOVE"], ["UP", "END"],
-                           ["UP", "RESET"], ["UP", "LEFT"]), client.said
+    assert client.said in (
+        [],
+        ["UP"],
+        ["BUSY"],
+        ["ERR"],
+        ["LEFT"],
+        ["UP", "MOVE"],
+        ["UP", "END"],
+        ["UP", "RESET"],
+        ["UP", "LEFT"],
+    ), client.said
 
 
 pick = st.integers(0, 20)
 steps = st.one_of(
-    st.tuples(st.just("comes"), st.sampled_from("abc")), st.tuples(st.just("comes"), st.sampled_from("abc")),
-    st.tuples(st.just("comes_up"), pick), st.tuples(st.just("fails"), pick, st.sampled_from(FAILED)),
+    st.tuples(st.just("comes"), st.sampled_from("abc")),
+    st.tuples(st.just("comes"), st.sampled_from("abc")),
+    st.tuples(st.just("comes_up"), pick),
+    st.tuples(st.just("fails"), pick, st.sampled_from(FAILED)),
     st.tuples(st.just("box_ends"), pick, st.sampled_from([Outcome.DONE, Outcome.RESET, Outcome.CANCELLED])),
     st.tuples(st.just("leaves"), pick),
     st.tuples(st.just("lists"), pick, st.sampled_from(list(Standing))),
     st.tuples(st.just("reports"), pick, st.sampled_from([0.1, 0.9, 1.5, 9.0])),
     st.tuples(st.just("waits"), st.sampled_from([1, 40, 300, 2500])),
-    st.tuples(st.just("silent"), pick), st.tuples(st.just("fill"), st.booleans()))
+    st.tuples(st.just("silent"), pick),
+    st.tuples(st.just("fill"), st.booleans()),
+)
 
 
 @settings(derandomize=True, max_examples=300, deadline=None)
 @given(st.lists(steps, max_size=60), st.booleans())
 def test_no_order_of_faults_leaves_a_tunnel_without_its_one_answer(
-        sequence: list[tuple], broken: bool) -> None:
+    sequence: list[tuple], broken: bool
+) -> None:
     scene = Scene(broken)
     for name, *arguments in sequence:
         if name == "waits":
@@ -276,8 +295,11 @@
     module = scene.module.balancer
     assert module.in_flight == 1
     scene.reactor.advance(0)
-    assert not module.in_flight and not module.tuns and not any(
-        member.open or member.pending for member in module.members.values())
+    assert (
+        not module.in_flight
+        and not module.tuns
+        and not any(member.open or member.pending for member in module.members.values())
+    )
 
 
 def test_a_module_that_fails_as_all_are_ended_leaves_nobody_without_an_answer() -> None:
--- a/tests/wire_lines.py
+++ b/tests/wire_lines.py
@@ -8,19 +8,37 @@
 
 SETTINGS = {
     "allowed": {"most_setups": 3, "probes": True, "retry_after": True, "max_retry_after": 1000},
-    "safety": {"cold_from": 0.2, "warm_within": 9000000, "fall_multiple": 3, "overload_for": 2000000,
-               "ask_every": 10000000},
-    "profiles": [{"name": "feed", "semantics": "pure", "setup_goal": 300000, "credit": 1},
-                 {"name": "odd", "semantics": "unheard of", "setup_goal": 300000, "credit": 1}],
-    "service_type": "conn", "membership_mode": "ask", "group_size": 1, "dcs": ["here"], "zone": "here",
-    "host_types": ["box"], "weight_kind": "off", "unknown": {"passed": "over"},
+    "safety": {
+        "cold_from": 0.2,
+        "warm_within": 9000000,
+        "fall_multiple": 3,
+        "overload_for": 2000000,
+        "ask_every": 10000000,
+    },
+    "profiles": [
+        {"name": "feed", "semantics": "pure", "setup_goal": 300000, "credit": 1},
+        {"name": "odd", "semantics": "unheard of", "setup_goal": 300000, "credit": 1},
+    ],
+    "service_type": "conn",
+    "membership_mode": "ask",
+    "group_size": 1,
+    "dcs": ["here"],
+    "zone": "here",
+    "host_types": ["box"],
+    "weight_kind": "off",
+    "unknown": {"passed": "over"},
 }
 WIDE = 2**52 - 1
 LINES = [
     {"moment": 5, "round": 1, "input": []},
-    {"moment": 10, "round": 2, "input": [
-        ["attach", 3, 2**63, SETTINGS],
-        ["endpoints", 3, "restored", 1, [[0, "here", "Running", "box", 1, "backend_a"]]]]},
+    {
+        "moment": 10,
+        "round": 2,
+        "input": [
+            ["attach", 3, 2**63, SETTINGS],
+            ["endpoints", 3, "restored", 1, [[0, "here", "Running", "box", 1, "backend_a"]]],
+        ],
+    },
     # The timer by which the list is asked for; its number is the module's.
     {"moment": 15, "round": 3, "input": [["elapsed", 3, 2]]},
     {"moment": 20, "round": 4, "input": [["inbound", 3, WIDE, "odd", None, "k", 240000]]},
@@ -28,14 +46,24 @@
     {"moment": 95, "round": 6, "input": [["expired", 3, WIDE], ["exit", 3]]},
 ]
 EXPECTED = [
-    [], [["timer"], ["timer"]], [["subscribe", 3, True]], [["relay", 3, WIDE, "backend_a", 240000]],
-    [["lose", 3, WIDE]], [],
+    [],
+    [["timer"], ["timer"]],
+    [["subscribe", 3, True]],
+    [["relay", 3, WIDE, "backend_a", 240000]],
+    [["lose", 3, WIDE]],
+    [],
 ]
 
 
 def start(lines: list[str]) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "cedarledge.wirehost"], input="\n".join(lines) + "\n",
-                          text=True, capture_output=True, timeout=60, check=False)
+    return subprocess.run(
+        [sys.executable, "-m", "cedarledge.wirehost"],
+        input="\n".join(lines) + "\n",
+        text=True,
+        capture_output=True,
+        timeout=60,
+        check=False,
+    )
 
 
 def main() -> int:
