The decision module becomes a package, cedarledge/policy, with the field's names

It is now fourteen modules by job over one State, with Balancer as the entry; Member, Tunnel, Fading, yielding, strikes and looks are Backend, Connection, DecayingSum, shed_fraction, ejections and probes before placement. The order of a group's backends is worked out for each placement, no longer kept with the connection; no decision depends on it.

--- a/cedarledge/net/beliefs.py
+++ b/cedarledge/net/beliefs.py
@@ -9,7 +9,8 @@
 from math import isfinite
 from typing import Any
 
-from cedarledge.choice import Balancer
+from cedarledge.policy import Balancer
+from cedarledge.policy.estimators import DecayingRatio
 from cedarledge.words import Indices
 
 Sums = list[float]
@@ -17,32 +18,36 @@
 
 def told_of(balancer: Balancer, kinds: Indices, now: int) -> dict[str, Any]:
     """Loads by profile, capacities by kind, and the rate at which backends may be filled."""
+    state = balancer.state
     return {
-        "loads": [[sums.read(now) for sums in pair] for pair in balancer.loads],
+        "loads": [_sums(load, now) for load in state.loads],
         "capacity": [
-            [kinds.names[kind], *(sums.read(now) for sums in pair)]
-            for kind, pair in balancer.capacity.items()
+            [kinds.names[kind], *_sums(capacity, now)]
+            for kind, capacity in state.capacity.items()
             if kind >= 0
         ],
-        "rate": balancer.rate,
+        "rate": state.fill_rate,
     }
 
 
 def follow(balancer: Balancer, kinds: Indices, told: Mapping[str, Any], now: int) -> None:
     """Raises KeyError, TypeError or ValueError for what is none of the above, and then changes nothing."""
+    state = balancer.state
     loads = [_figures(pair, 2) for pair in told["loads"]]
     capacity = [(kinds[name], _figures(pair, 2)) for name, *pair in told["capacity"]]
     (rate,) = _figures([told["rate"]], 1)
-    if len(loads) != len(balancer.loads):
+    if len(loads) != len(state.loads):
         raise ValueError("other profiles")
-    for sums, pair in zip(balancer.loads, loads, strict=True):
-        for one, figure in zip(sums, pair, strict=True):
-            one.add(now, figure)
+    for load, pair in zip(state.loads, loads, strict=True):
+        load.add(now, *pair)
     # What it sees until it holds its share would have it unlearn this.
-    balancer.rate, balancer.apart_until = rate, balancer.young_until
+    state.fill_rate, state.unrepresentative_until = rate, state.settling_until
     for kind, pair in capacity:
-        for one, figure in zip(balancer.capacity[kind], pair, strict=True):
-            one.add(now, figure)
+        state.capacity[kind].add(now, *pair)
+
+
+def _sums(ratio: DecayingRatio, now: int) -> Sums:
+    return [ratio.amount.read(now), ratio.weight.read(now)]
 
 
 def _figures(told: Any, count: int) -> Sums:
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -7,8 +7,8 @@
 
 from loguru import logger
 
-from cedarledge.choice import Balancer
 from cedarledge.net.deadlines import Deadlines
+from cedarledge.policy import Balancer
 from cedarledge.terms import Outlook, SiteFacts
 
 if TYPE_CHECKING:
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -13,7 +13,6 @@
 from loguru import logger
 from twisted.internet.error import CannotListenError
 
-from cedarledge.choice import Balancer
 from cedarledge.net import signals
 from cedarledge.net.backends import Backends
 from cedarledge.net.boxlist import BoxList
@@ -34,6 +33,7 @@
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
 from cedarledge.net.tunnels import Tunnels
+from cedarledge.policy import Balancer
 from cedarledge.terms import MS, SECOND, ListForm, LoadReport
 from cedarledge.words import US, ReportReader, site_facts
 
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -6,7 +6,6 @@
 
 from loguru import logger
 
-from cedarledge.choice import Fading
 from cedarledge.net.backends import Backends, SetupLink
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.clients import Opening
@@ -17,6 +16,7 @@
 from cedarledge.net.module import Module
 from cedarledge.net.seams import ClientEnd
 from cedarledge.net.slots import FullError, Slots
+from cedarledge.policy.estimators import DecayingSum
 from cedarledge.terms import MS, SECOND, LoadReport, Outcome
 
 # A client that would wait for so many times its profile's client timeout is none of ours.
@@ -84,7 +84,7 @@
         self.begun = False  # somebody has come who was not open before the run
         # Clients that came back here less those that were sent away from here: more come than go while
         # another relay is down, and about as many where a backend is.
-        self.refugees = Fading(LATELY)
+        self.refugees = DecayingSum(LATELY)
 
     def join(self, backends: Backends, echoes: Echoes) -> None:
         self.backends = backends
--- /dev/null
+++ b/cedarledge/policy/utilization.py
@@ -0,0 +1,83 @@
+"""How loaded each backend and the whole fleet are, as far as this relay can tell."""
+
+import math
+
+from cedarledge.policy import slow_start
+from cedarledge.policy.state import TICK, Backend, State
+from cedarledge.terms import MS, SECOND, LoadReport
+
+OVERLOADED = 0.95  # above this a backend answers late whatever it holds: its clients are better off elsewhere
+FULL = 0.85  # above this mean load a fleet has no room for its own swings
+FULL_WITH_GROUPS = 0.7  # nor, above this, for a group to lie on more backends: each pays for what it shares
+KIND_WEIGHT = 0.5  # of a backend's kind against its own reports, in reports at full load
+ECHO_HALF = 0.1  # own connections in a backend's share at which an own change counts half for other relays
+GUESS_CAP = 0.35  # how far a settling relay's guess may go past a report: it guesses capacities far too low
+REPORT_LIFETIME = 4 * SECOND  # how fast a report loses its say in the fleet's mean
+MEAN_AGE = 4 * MS  # how long a mean is gone by, for each backend that it is made of
+
+
+def capacity(state: State, now: int, backend: Backend) -> float:
+    """Work a second that a backend can do now, guessed from the load here times the relays; 0: unknown."""
+    kind, own = state.capacity[backend.kind], backend.capacity
+    if kind.weight.read(now) < 0.5:
+        return 0.0
+    usual = kind.amount.read(now) / kind.weight.read(now)
+    # What it showed lately outweighs its kind: one that turns slow is idle once its clients are moved away.
+    return (own.amount.read(now) + KIND_WEIGHT * usual) / (own.weight.read(now) + KIND_WEIGHT)
+
+
+def current(state: State, now: int, backend: Backend) -> float:
+    """The load asked of a backend over its capacity, with the changes since its report; below 0: unknown."""
+    if backend.reported < 0:
+        return -1.0
+    change = backend.load - backend.load_at_report
+    work = capacity(state, now, backend) if change else 0.0
+    if not work:
+        return backend.reported
+    # Other relays do as this one does: its change counts for them, as far as its few placements are evidence.
+    own = state.arrivals_per_backend * (now - backend.reported_at) / SECOND
+    echo = 1 + (state.settings.relays - 1) * own / (own + ECHO_HALF)
+    return max(0.0, backend.reported + echo * change / work)
+
+
+def cautious(state: State, now: int, backend: Backend) -> float:
+    """The same, as far as a rejection may go by it."""
+    load = current(state, now, backend)
+    return min(load, backend.reported + GUESS_CAP) if now < state.settling_until else load
+
+
+def learn(state: State, now: int, backend: Backend, report: LoadReport) -> None:
+    """Takes in a backend's load report."""
+    backend.reported_at = now
+    load = report.busy_share if report.asked is None else report.asked
+    if load is None:
+        return
+    backend.reported = load = max(load, 1.0 + report.piled_up / SECOND) if report.piled_up else load
+    backend.load_at_report = backend.load - max(0.0, backend.recent_load.read(now))
+    kind, relays = state.capacity[backend.kind], state.settings.relays
+    if now < state.unrepresentative_until and kind.weight.read(now) >= 0.5:
+        return  # it holds little of what the report tells of, and would take that for weakness
+    backend.capacity.add(now, backend.load_at_report * relays, load)
+    if backend.load > 0 and not backend.is_cold(now) and 0.05 < load < slow_start.CREDIBLE_LOAD:
+        kind.add(now, backend.load * relays, load)
+
+
+def fleet(state: State, now: int) -> float:
+    """The mean load of the backends in the cells, gone by for a while; below 0: unknown."""
+    if now < state.fleet_load_until:
+        return state.fleet_load
+    state.fleet_load_until = now + max(TICK, state.ready * MEAN_AGE)
+    load, size = [0.0, 0.0], [0.0, 0.0]  # elsewhere, and in this relay's zone
+    for backend in (backend for cell in state.cells.values() for backend in cell):
+        if backend.reported < 0 or backend.is_ejected(now) or backend.is_cold(now):
+            continue  # a cold one's idle cores can't be had at will: no reason to call others busy
+        # By age: a relay that probes seldom would shed for half a minute by what a storm left in reports.
+        recency = math.exp((backend.reported_at - now) / REPORT_LIFETIME)
+        share = recency * (capacity(state, now, backend) or 1.0)
+        is_local = backend.zone == state.settings.zone
+        load[is_local] += min(cautious(state, now, backend), 3.0) * share
+        size[is_local] += share
+    state.fleet_load = (load[1] + load[0]) / (size[1] + size[0]) if size[1] + size[0] else -1.0
+    state.local_load = load[1] / size[1] if size[1] else -1.0
+    slow_start.learn_rate(state, now)
+    return state.fleet_load
--- a/cedarledge/rig/baselines.py
+++ b/cedarledge/rig/baselines.py
@@ -14,60 +14,67 @@
 from pathlib import Path
 from typing import Any
 
-from cedarledge.choice import Balancer, Member, Tunnel, digest_of, draw_of
+from cedarledge.policy import Balancer
+from cedarledge.policy.cells import digest_of, draw_of
+from cedarledge.policy.placement import Choice
+from cedarledge.policy.retries import may_attempt
+from cedarledge.policy.state import Backend, Connection, State
+from cedarledge.terms import Host, SiteFacts
 
 ALONE_SALT = 1 << 41
 
 
 class PlainBalancer(Balancer):
-    """Chooses among the ready members that the rules allow, knows nothing of their load, and tries again
+    """Chooses among the ready backends that the rules allow, knows nothing of their load, and tries again
     where the rules allow it. Drains, the list, and the rules on effects are the relay's, or nothing would be
-    compared."""
+    compared. No probes, no moves but off draining backends, and nobody is ejected for a failed answer."""
 
-    def _pick(self, now: int, tun: Tunnel) -> tuple[Member | None, str]:
-        members = [
-            member for cell in self.cells.values() for member in cell if self._may_follow(now, tun, member)
+    def __init__(self, host: Host, settings: SiteFacts) -> None:
+        super().__init__(host, settings._replace(probes=False))
+
+    def choose(self, state: State, now: int, connection: Connection) -> Choice | None:
+        backends = [
+            backend
+            for cell in state.cells.values()
+            for backend in cell
+            if may_attempt(state, now, connection, backend)
         ]
-        return (self.choose(tun, members), "rank") if members else (None, "")
+        return Choice(self.choose_among(connection, backends), "rank") if backends else None
 
-    def choose(self, tun: Tunnel, members: list[Member]) -> Member:
+    def choose_among(self, connection: Connection, backends: list[Backend]) -> Backend:
         raise NotImplementedError
 
-    def _wants_look(self, now: int, tun: Tunnel, member: Member) -> bool:
-        return False
-
-    def _probe(self, now: int) -> None:
-        """No probes."""
-
-    def _relieve(self, now: int) -> None:
-        """No moves but off draining members."""
+    def record_failure(self, state: State, now: int, backend: Backend) -> None:
+        """Nobody is ejected."""
 
-    def _strike(self, now: int, member: Member) -> None:
-        """Nobody is set aside."""
+    def relieve(self, state: State, now: int) -> None:
+        """No moves but off draining backends."""
 
 
 class RandomBalancer(PlainBalancer):
-    """Any ready member."""
+    """Any ready backend."""
 
-    def choose(self, tun: Tunnel, members: list[Member]) -> Member:
-        return members[int(self.chance() * len(members))]
+    def choose_among(self, connection: Connection, backends: list[Backend]) -> Backend:
+        return backends[int(self.chance() * len(backends))]
 
 
 class FewestBalancer(PlainBalancer):
-    """The member that holds the fewest of this relay's connections."""
+    """The backend that holds the fewest of this relay's connections."""
 
-    def choose(self, tun: Tunnel, members: list[Member]) -> Member:
-        return min(members, key=lambda member: (member.open, member.tie))
+    def choose_among(self, connection: Connection, backends: list[Backend]) -> Backend:
+        return min(backends, key=lambda backend: (backend.open, backend.tie_break))
 
 
 class HashBalancer(PlainBalancer):
-    """The key's member by rendezvous hashing, and the next one for each further setup."""
+    """The key's backend by rendezvous hashing, and the next one for each further attempt."""
+
+    def choose_among(self, connection: Connection, backends: list[Backend]) -> Backend:
+        seed = digest_of(connection.key or str(self.chance()))
+
+        def rank(backend: Backend) -> float:
+            return backend.weight / -math.log(draw_of(seed, backend.hash_id ^ ALONE_SALT))
 
-    def choose(self, tun: Tunnel, members: list[Member]) -> Member:
-        seed = digest_of(tun.key or str(self.chance()))
-        return max(
-            members, key=lambda member: member.weight / -math.log(draw_of(seed, member.mark ^ ALONE_SALT))
-        )
+        return max(backends, key=rank)
 
 
 BALANCERS: dict[str, type[Balancer]] = {
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -7,7 +7,7 @@
 import traceback
 from typing import Any
 
-from cedarledge.choice import Balancer
+from cedarledge.policy import Balancer
 from cedarledge.terms import Listed, LoadReport, Outcome
 from cedarledge.wirehost.words import FORMS, OUTCOMES, STANDINGS
 from cedarledge.words import US, Indices, ReportReader, mark_of, site_facts
@@ -285,7 +285,7 @@
 def _in_module(why: BaseException) -> bool:
     step = why.__traceback__
     while step is not None:
-        if step.tb_frame.f_globals.get("__name__") == "cedarledge.choice":
+        if step.tb_frame.f_globals.get("__name__", "").startswith("cedarledge.policy."):
             return True
         step = step.tb_next
     return False
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -19,7 +19,8 @@
 from pathlib import Path
 from typing import IO
 
-from cedarledge.choice import TICK, Balancer
+from cedarledge.policy import Balancer
+from cedarledge.policy.state import TICK
 from cedarledge.terms import (
     MS,
     NEVER_RAN,
@@ -196,8 +197,8 @@
         tun = len(self.cases)
         self.cases[tun] = Case(profile, self.now, self.now + budget)
         self.balancer.tunnel_arrived(self.now, tun, profile, tenant, key, group, budget, hint, False)
-        while self.answers and tun in self.balancer.looking:
-            ep = self.balancer.looking[tun]
+        while self.answers and tun in self.balancer.state.waiting:
+            ep = self.balancer.state.waiting[tun].backend_id
             self.report(ep, self.told.get(ep, 0.0))
         return tun
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -138,19 +138,20 @@
 def test_one_that_comes_back_is_cold_and_forgotten_whatever_the_list_says() -> None:
     site = Listed()
     ledger, now = site.ledger, START
-    ledger.balancer.members[0].strikes, ledger.balancer.members[0].out_until = 5, now + 100 * SECOND
+    struck = ledger.balancer.state.backends[0]
+    struck.ejections, struck.ejected_until = 5, now + 100 * SECOND
     site.ban("a")
     ledger.now += 3 * SECOND
     site.put_back("a")
-    member = ledger.balancer.members[0]
-    assert member.started == ledger.now and not member.strikes and member.asked < 0
+    member = ledger.balancer.state.backends[0]
+    assert member.started_at == ledger.now and not member.ejections and member.reported < 0
     # An old word of discovery does not make it warm, nor forget again what was learned since.
     ledger.report(0, 0.3)
     site.told(False, site.entry("a", "up", 5))
-    assert member.started == ledger.now and member.asked == 0.3
+    assert member.started_at == ledger.now and member.reported == 0.3
     ledger.now += SECOND
     site.told(False, site.entry("a", "up", ledger.now // MS))
-    assert member.started == ledger.now and member.asked < 0, "one more restart is one"
+    assert member.started_at == ledger.now and member.reported < 0, "one more restart is one"
     # Where the list has told of the restart while it was out, that is when it started.
     site.ban("b")
     ledger.now += SECOND
@@ -158,7 +159,7 @@
     site.told(False, site.entry("b", "up", at // MS))
     ledger.now += SECOND
     site.put_back("b")
-    assert ledger.balancer.members[1].started == at
+    assert ledger.balancer.state.backends[1].started_at == at
 
 
 def test_its_clients_are_moved_and_it_gets_the_first_of_the_next(tmp_path: Path) -> None:
@@ -214,8 +215,8 @@
     # The host asks once more before it writes (Tunnels.may_send), and says that it was not sent.
     assert ep not in site.boxes.ready
     ledger.end(tun, Outcome.NOT_SENT)
-    while tun in ledger.balancer.looking:
-        ledger.report(ledger.balancer.looking[tun], 0.1)
+    while tun in ledger.balancer.state.waiting:
+        ledger.report(ledger.balancer.state.waiting[tun].backend_id, 0.1)
     assert ledger.sends[-1][2] != ep, "it goes elsewhere"
 
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,11 @@
 from helpers import MS, SECOND, START, fleet, listed, teach
 from pytest import approx, mark
 
-from cedarledge.choice import LOOKS, SKIP_FACTOR, TICK, digest_of, draw_of
+from cedarledge.policy import utilization
+from cedarledge.policy.cells import digest_of, draw_of
+from cedarledge.policy.placement import SKIP_FACTOR
+from cedarledge.policy.probing import MOST_PROBES
+from cedarledge.policy.state import TICK
 from cedarledge.terms import ListForm, Outcome, Standing
 
 
@@ -44,7 +48,7 @@
     ledger.report(first, 0.9)
     assert placed(ledger, ledger.arrive(key="one")) != first
     ledger.report(first, 0.3)
-    ledger.balancer.members[first].open = 0
+    ledger.balancer.state.backends[first].open = 0
     assert placed(ledger, ledger.arrive(key="one")) == first
 
 
@@ -94,7 +98,7 @@
         ledger.run(TICK)
         ledger.end_moved()
         for ep in range(4):
-            ledger.report(ep, 1.5 * ledger.balancer.members[ep].open / held if ep == sick else 0.4)
+            ledger.report(ep, 1.5 * ledger.balancer.state.backends[ep].open / held if ep == sick else 0.4)
     assert {placed(ledger, tun) for tun in ledger.moves} == {sick}
     assert 0 < len(ledger.moves) < held
 
@@ -235,7 +239,7 @@
         for ep in range(3):
             ledger.report(ep, 1.4)
         ledger.run(SECOND)
-    ledger.balancer.yielding = 1.0
+    ledger.balancer.state.shed_fraction = 1.0
     answers = Counter()
     for number in range(40):
         tun = ledger.arrive(key=f"late {number}", hint=10.0)
@@ -280,15 +284,15 @@
     ledger.report(0, 0.5)
     for number in range(60):
         ledger.run(100 * MS)
-        ledger.balancer.members[0].probe_at = 0
+        ledger.balancer.state.backends[0].probed_at = 0
         tun = ledger.arrive(key=str(number))
         ledger.open(tun)
-    assert not ledger.balancer.rate
+    assert not ledger.balancer.state.fill_rate
     for ep in range(8):
         ledger.report(ep, 0.5)
     ledger.arrive(key="out")
     ledger.run(SECOND)
-    assert ledger.balancer.rate == approx(60 / 8 / 0.5 / 10)
+    assert ledger.balancer.state.fill_rate == approx(60 / 8 / 0.5 / 10)
 
 
 def test_a_referenced_tunnel_is_not_repeated_once_its_window_has_lapsed() -> None:
@@ -322,7 +326,7 @@
     for tun in tuns:
         if placed(ledger, tun) == crowded:
             ledger.balancer.load_told(ledger.now, tun, 250.0)
-    assert ledger.balancer._asked(ledger.now, ledger.balancer.members[crowded]) > 1
+    assert utilization.current(ledger.balancer.state, ledger.now, ledger.balancer.state.backends[crowded]) > 1
     ledger.probes.clear()
     ledger.run(4 * TICK)
     assert not ledger.moves and crowded in [ep for _, ep in ledger.probes]
@@ -342,11 +346,11 @@
             assert ledger.cases[tun].answered == (errors == 4)
             if errors < 4:
                 ledger.open(tun)
-            members = ledger.balancer.members.values()
-            assert [ledger.balancer._is_out(ledger.now, member) for member in members].count(True) == aside
+            members = ledger.balancer.state.backends.values()
+            assert [member.is_ejected(ledger.now) for member in members].count(True) == aside
     ledger = fleet(5, cells=1, most_setups=1)
     ledger.end(ledger.arrive(key="one"), Outcome.ERROR)
-    assert [member.strikes for member in ledger.balancer.members.values()].count(1) == 1
+    assert [member.ejections for member in ledger.balancer.state.backends.values()].count(1) == 1
 
 
 def test_an_old_flag_is_looked_at_before_it_is_gone_by() -> None:
@@ -356,7 +360,7 @@
     ledger.told[top] = 2.0
     ledger.probes.clear()
     assert placed(ledger, ledger.arrive(key="one")) != top
-    assert 2 <= len(ledger.probes) <= LOOKS
+    assert 2 <= len(ledger.probes) <= MOST_PROBES
 
 
 def test_a_look_that_is_not_answered_sends_the_tunnel_elsewhere_within_its_goal() -> None:
@@ -396,9 +400,9 @@
         for ep in range(8):
             ledger.report(ep, 0.3)
         ledger.run(SECOND)
-        top = ledger.balancer.members[placed(ledger, ledger.arrive(key="one", hint=100.0))]
+        top = ledger.balancer.state.backends[placed(ledger, ledger.arrive(key="one", hint=100.0))]
         # What one more connection like those it holds adds, in loads of the member.
-        seen[relays] = (ledger.balancer._asked(ledger.now, top) - 0.3) / 0.3 * relays
+        seen[relays] = (utilization.current(ledger.balancer.state, ledger.now, top) - 0.3) / 0.3 * relays
     assert 0.6 * 4 < seen[4] <= 4
     assert 1 <= seen[400] < 0.1 * 400
 
@@ -441,7 +445,7 @@
     ledger.now += 16 * SECOND
     for ep in range(15, 20):
         ledger.report(ep, 0.4)
-    assert ledger.balancer._fleet(ledger.now) < 0.5
+    assert utilization.fleet(ledger.balancer.state, ledger.now) < 0.5
 
 
 def test_the_own_location_comes_first_where_a_crossing_is_dear_until_it_is_nearly_full() -> None:
@@ -466,7 +470,7 @@
         ledger.run(SECOND)
         for ep in range(6):
             ledger.report(ep, load if ep != home else 0.93)
-        ledger.balancer.fleet_until, ledger.balancer.yielding = 0, 0.0
+        ledger.balancer.state.fleet_load_until, ledger.balancer.state.shed_fraction = 0, 0.0
         assert (placed(ledger, ledger.arrive(key="two", group="g")) == home) is stays
 
 
@@ -481,8 +485,8 @@
         tun = ledger.arrive(key=str(number), group=f"g{number}")
         ledger.open(tun)
         ledger.end(tun, Outcome.DONE)
-    assert not ledger.balancer.groups
-    assert not any(member.groups for member in ledger.balancer.members.values())
+    assert not ledger.balancer.state.groups
+    assert not any(member.groups for member in ledger.balancer.state.backends.values())
 
 
 def test_a_lost_location_is_no_shared_store() -> None:
@@ -492,12 +496,12 @@
         while not ledger.cases[tun].answered and placed(ledger, tun) % 2:
             ledger.now += 10 * MS
             ledger.end(tun, Outcome.CONNECT_FAILED)
-    assert not ledger.declines and all(ledger.balancer.members[ep].strikes for ep in range(1, 12, 2))
+    assert not ledger.declines and all(ledger.balancer.state.backends[ep].ejections for ep in range(1, 12, 2))
 
 
 def test_groups_give_way_whole() -> None:
     ledger = fleet(6, grouped=True)
-    ledger.balancer.yielding, ledger.balancer.line = 0.5, [(0.0, 1.0)] * 5
+    ledger.balancer.state.shed_fraction, ledger.balancer.state.shed_order = 0.5, [(0.0, 1.0)] * 5
     told_no = {}
     for group in "abcdefghij":
         tuns = [ledger.arrive(key=f"{group} {number}", group=group) for number in range(4)]
@@ -511,7 +515,7 @@
         ledger.run(SECOND)
         for ep in range(4):
             ledger.report(ep, 0.74)
-    assert 0.2 < ledger.balancer.yielding < 0.6
+    assert 0.2 < ledger.balancer.state.shed_fraction < 0.6
 
 
 def test_moves_take_the_groups_that_rank_the_member_lowest() -> None:
@@ -529,7 +533,7 @@
     for ep in range(4):
         ledger.report(ep, 1.1 if ep == 0 else 0.3)
     ledger.run(2 * TICK)
-    moved = [ledger.balancer.tuns[tun].group for tun in ledger.moves]
+    moved = [ledger.balancer.state.connections[tun].group for tun in ledger.moves]
     assert moved and set(moved) == {last}
 
 
@@ -543,7 +547,7 @@
             ledger.run(SECOND)
             for ep in range(4):
                 ledger.report(ep, load)
-        assert (ledger.balancer.yielding > 0) is (grouped or load > 0.9)
+        assert (ledger.balancer.state.shed_fraction > 0) is (grouped or load > 0.9)
         assert not (grouped and ledger.moves) and (grouped or load < 0.9 or ledger.moves)
 
 
@@ -553,7 +557,7 @@
         ledger.adopt(ep)
     for _ in range(4):
         for ep in range(12):
-            ledger.balancer.members[ep].full_until = ledger.now + 10 * SECOND
+            ledger.balancer.state.backends[ep].busy_until = ledger.now + 10 * SECOND
         ledger.run(SECOND)
     ledger.probes.clear()
     ledger.run(8 * SECOND)
@@ -585,12 +589,12 @@
             ledger.now += SECOND
             for ep in range(4):
                 ledger.report(ep, 0.5)
-        ledger.balancer.young_until = 0
+        ledger.balancer.state.settling_until = 0
         ledger.balancer.stopping(ledger.now, SECOND)
         if comes_back:
             ledger.balancer.staying(ledger.now)
         else:
-            ledger.balancer.stop_by = 0
+            ledger.balancer.state.stop_by = 0
         before = len(ledger.declines)
         for number in range(30):
             tun = ledger.arrive(hint=400.0, key=f"back{number}")
@@ -627,9 +631,15 @@
     balancer = ledger.balancer
 
     def learned() -> list[float]:
-        balancer.fleet_until = 0
-        balancer._fleet(ledger.now)
-        return [balancer.rate, *(balancer._capacity(ledger.now, balancer.members[ep]) for ep in range(2))]
+        balancer.state.fleet_load_until = 0
+        utilization.fleet(balancer.state, ledger.now)
+        return [
+            balancer.state.fill_rate,
+            *(
+                utilization.capacity(balancer.state, ledger.now, balancer.state.backends[ep])
+                for ep in range(2)
+            ),
+        ]
 
     teach(ledger)
     before = learned()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -789,27 +789,27 @@
     ledger.answers = False
     ledger.run(4 * SECOND)
     gone = ledger.arrive()
-    seen = ledger.balancer.members[ledger.balancer.looking[gone]]
+    seen = ledger.balancer.state.waiting[gone]
     ledger.balancer.client_gone(ledger.now, gone)
     ledger.cases[gone].answered = True
     ledger.run(SECOND)
-    assert not seen.full_until and not ledger.balancer.looking and not ledger.balancer.tuns
+    assert not seen.busy_until and not ledger.balancer.state.waiting and not ledger.balancer.state.connections
 
 
 def test_what_was_never_sent_costs_a_cold_member_nothing_of_its_budget() -> None:
     ledger = fleet(3, cells=1)
     teach(ledger)
     ledger.tell(ListForm.CHANGES, listed(0, cells=1, started=START))
-    cold = ledger.balancer.members[0]
+    cold = ledger.balancer.state.backends[0]
     ledger.run(3 * SECOND)
-    cold.credit = 1.5
+    cold.tokens = 1.5
     while not ledger.sends or ledger.sends[-1][2] != 0:
         ledger.arrive(hint=100.0)
-    tun, left = ledger.sends[-1][1], cold.credit
+    tun, left = ledger.sends[-1][1], cold.tokens
     ledger.balancer.client_gone(ledger.now, tun)
     ledger.cases[tun].answered = True
     ledger.end(tun, Outcome.NOT_SENT)
-    assert cold.credit == approx(left + 1) and not cold.open and not cold.pending
+    assert cold.tokens == approx(left + 1) and not cold.open and not cold.pending
 
 
 # -- kept connections ------------------------------------------------------------------------------
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -20,6 +20,8 @@
 
 from cedarledge.net import beliefs
 from cedarledge.net.handover import VERSION, NotFollowedError, line_of, own_path, read_estate
+from cedarledge.policy import utilization
+from cedarledge.policy.estimators import usual_load
 from cedarledge.words import Indices
 
 
@@ -371,13 +373,13 @@
         beliefs.follow(new.balancer, kinds, told | {"loads": told["loads"][1:]}, new.now)
     with raises(ValueError):
         beliefs.follow(new.balancer, kinds, told | {"rate": -1.0}, new.now)
-    assert not new.balancer.rate and new.balancer._usual_load(new.now, 0) == 0
+    assert not new.balancer.state.fill_rate and usual_load(new.balancer.state.loads, new.now, 0) == 0
     beliefs.follow(new.balancer, kinds, told, new.now)
-    assert new.balancer._usual_load(new.now, 0) == approx(100)
+    assert usual_load(new.balancer.state.loads, new.now, 0) == approx(100)
     # The clients are still at the old process, and the reports tell of them.
     for _ in range(10):
         new.now += 500 * MS
         for ep in range(2):
             new.report(ep, 0.8)
     # Eight connections of 100 at each of two relays fill two members by half.
-    assert new.balancer._capacity(new.now, new.balancer.members[0]) == approx(1600)
+    assert utilization.capacity(new.balancer.state, new.now, new.balancer.state.backends[0]) == approx(1600)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -74,7 +74,7 @@
         ledger = self.ledgers[which]
         count = self.asked["old" if ledger.site.relays == OLD["relays"] else "new"]
         count[0] += 1
-        for ep in ledger.balancer.members:
+        for ep in ledger.balancer.state.backends:
             ledger.told[ep] = self.held.get(ep, 0) / FULL_AT
         key = f"client {self.chance.randrange(400)}"
         tun = ledger.arrive(key=key, group=f"firm {self.chance.randrange(20)}", budget=2 * SECOND)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -9,7 +9,6 @@
 from hypothesis import strategies as st
 from twisted.internet.task import Clock
 
-from cedarledge.choice import Balancer
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.buffers import Pool
 from cedarledge.net.clients import read_opening
@@ -22,6 +21,7 @@
 from cedarledge.net.seams import Hearer
 from cedarledge.net.slots import FullError, Slots
 from cedarledge.net.tunnels import Tunnels
+from cedarledge.policy import Balancer
 from cedarledge.terms import ListForm, LoadReport, Outcome, Standing
 
 BOXES, MOST = 4, 5
@@ -279,9 +279,13 @@
     assert scene.tunnels.table.used == 0, "every slot is back"
     assert not scene.tunnels.ids
     if not broken:
-        module = scene.module.balancer
-        assert not (module.tuns or module.looking or module.in_flight), "nothing is counted that is not there"
-        assert not any(member.open or member.pending or member.tuns for member in module.members.values())
+        state = scene.module.balancer.state
+        assert not (state.connections or state.waiting or state.in_flight), (
+            "nothing is counted that is not there"
+        )
+        assert not any(
+            member.open or member.pending or member.connections for member in state.backends.values()
+        )
 
 
 def test_a_setup_that_found_no_slot_is_not_counted_once_its_client_has_left() -> None:
@@ -292,13 +296,13 @@
     scene.full = True
     scene.comes("a")
     scene.leaves(0)
-    module = scene.module.balancer
-    assert module.in_flight == 1
+    state = scene.module.balancer.state
+    assert state.in_flight == 1
     scene.reactor.advance(0)
     assert (
-        not module.in_flight
-        and not module.tuns
-        and not any(member.open or member.pending for member in module.members.values())
+        not state.in_flight
+        and not state.connections
+        and not any(member.open or member.pending for member in state.backends.values())
     )
 
 
