Backends share their attribute keys again; a few constants of the policy joined

A backend of the new package had 30 attributes, past what instances share keys for, and each carried a table of 1.6 KB. One that only draining ones need is now set on those alone.

--- a/cedarledge/policy/estimators.py
+++ b/cedarledge/policy/estimators.py
@@ -26,6 +26,8 @@
 class DecayingRatio:
     """Two decaying sums whose ratio is an estimate, such as the mean of amounts over their count."""
 
+    __slots__ = ("amount", "weight")
+
     def __init__(self, lifetime: int) -> None:
         self.amount, self.weight = DecayingSum(lifetime), DecayingSum(lifetime)
 
--- a/cedarledge/policy/probing.py
+++ b/cedarledge/policy/probing.py
@@ -6,8 +6,7 @@
 
 SHORTEST_INTERVAL, LONGEST_INTERVAL = SECOND, 4 * SECOND
 PROBES_PER_ARRIVAL = 2  # more cost a large fleet of relays more than their news is worth
-HELD_ROUND = 5 * SECOND  # in which all backends with clients here could be probed
-HELD_HEAD_START = 3  # their turn comes so many times sooner: few relays hold clients there
+HELD_ROUND, HEAD_START = 5 * SECOND, 3  # those with clients here come in a round, and so many times sooner
 FRESH = 2 * SECOND  # an older report does not tell whether a backend is busy: more was placed since
 MOST_PROBES, PROBE_SHARE = 5, 0.25  # before a placement, within this part of its latency target
 
@@ -39,8 +38,7 @@
         # The longest unprobed, which meets new backends soon, with a head start for those with clients here.
         first = next(backend for backend in state.probe_order.values() if backend.state is Standing.READY)
         sooner = min(held, key=_turn, default=first)
-        is_due = HELD_HEAD_START * (now - sooner.probed_at) > now - first.probed_at
-        probe(state, now, sooner if is_due else first)
+        probe(state, now, sooner if HEAD_START * (now - sooner.probed_at) > now - first.probed_at else first)
     # Before their turn, but once an interval: in a storm that all relays feel more cost more than they tell.
     held = [backend for backend in held if now - backend.probed_at >= interval]
     doubtful = [backend for backend in held if _is_doubtful(state, now, backend)]
--- a/cedarledge/policy/rebalance.py
+++ b/cedarledge/policy/rebalance.py
@@ -7,10 +7,9 @@
 MOVES_PER_TICK = 2  # a wave of clients coming back at once can drown what all attempts need
 QUEUE_DRAIN_TIME = 2 * SECOND  # in which a backend is to work off what is queued
 ROOM = 0.9  # above this mean load others can't take what is moved
-EFFECT_TIME = 2 * SECOND  # until moves show in reports, which are refreshed in turn and arrive late
+EFFECT_TIME = SETTLED_AFTER = 2 * SECOND  # until moves show in reports, and a connection shows its load
 FEW_HELD = 3  # with more connections at a backend some fit any surplus worth a move
 SHED_PER_TICK = 0.04  # the most of its connections that a relay ends in a tick
-SETTLED_AFTER = 2 * SECOND  # from its opening a connection's load shows
 DELAY_AGE, REPORT_AGE = 1500 * MS, 3 * SECOND  # how long what is told may be gone by
 
 
--- a/cedarledge/policy/retries.py
+++ b/cedarledge/policy/retries.py
@@ -4,8 +4,7 @@
 from cedarledge.policy.state import Backend, Connection, State
 from cedarledge.terms import MS, SECOND, Dedup, Effect
 
-LIST_SPREAD = 100 * MS  # for each relay: the list's service takes calls in turn
-LIST_RETRY = 4 * SECOND  # it works on failed calls too, so one waits until what it stood behind is done
+LIST_SPREAD, LIST_RETRY = 100 * MS, 4 * SECOND  # its service takes calls in turn, those given up as well
 
 
 def may_attempt(state: State, now: int, connection: Connection, backend: Backend) -> bool:
--- a/cedarledge/policy/state.py
+++ b/cedarledge/policy/state.py
@@ -16,10 +16,12 @@
 class Backend:
     """What this relay knows of one backend."""
 
+    drain_by = 0  # set for those that drain; with fewer than 30 attributes instances share their keys
+
     def __init__(self, backend_id: int, tie_break: float) -> None:
         self.backend_id, self.tie_break, self.state = backend_id, tie_break, Standing.GONE
         self.cell = self.zone = self.kind = self.hash_id = self.started_at = -1
-        self.cold_until = self.drain_by = self.probed_at = self.open = self.pending = 0
+        self.cold_until = self.probed_at = self.open = self.pending = 0
         self.weight, self.load, self.recent_load = 1.0, 0.0, DecayingSum(SECOND)
         self.connections, self.groups = dict[int, Connection](), Counter[str]()
         self.reset()
