--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -9,7 +9,7 @@
 
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.policy import Balancer
-from cedarledge.terms import Outlook, SiteFacts
+from cedarledge.terms import ExternalView, SiteFacts
 
 if TYPE_CHECKING:
     from cedarledge.net.backends import Backends
@@ -28,7 +28,7 @@
     def __init__(self, clock: Callable[[], int], deadlines: Deadlines) -> None:
         self.clock = clock
         self.deadlines = deadlines
-        self.outlook = Outlook()
+        self.external_view = ExternalView()
 
     def join(self, tunnels: Tunnels, backends: Backends, boxes: BoxList, watching: Watch) -> None:
         self.tunnels = tunnels
@@ -58,11 +58,11 @@
         return True
 
     def knows(self, **known: Any) -> None:
-        """A subsystem's fields of the outlook have changed."""
-        outlook = self.outlook._replace(**known)
-        if outlook != self.outlook:
-            self.outlook = outlook
-            self.tell(self.balancer.knows, outlook)
+        """A subsystem's fields of the external view have changed."""
+        external_view = self.external_view._replace(**known)
+        if external_view != self.external_view:
+            self.external_view = external_view
+            self.tell(self.balancer.knows, external_view)
 
     # -- the rest of the host interface ------------------------------------------------------------
 
--- a/cedarledge/net/seams.py
+++ b/cedarledge/net/seams.py
@@ -5,7 +5,7 @@
 - A *hearer* is told what happens and can neither slow nor break it (`hearers.Hearers` sees to that).
 `eventlog.EventLog`
   is one.
-- *Facts*: what a subsystem knows reaches the decision module as the plain values of `terms.Outlook`, set
+- *Facts*: what a subsystem knows reaches the decision module as the plain values of `terms.ExternalView`, set
 through
   `module.Module.knows`. `boxlist.BoxList.set_aside` does so for the operator's file.
 """
--- a/cedarledge/policy/balancer.py
+++ b/cedarledge/policy/balancer.py
@@ -38,9 +38,9 @@
             self.state.list_delay = 0
         backends.update(self.state, now, form, entries)
 
-    def knows(self, now: int, outlook: terms.Outlook) -> None:
+    def knows(self, now: int, view: terms.ExternalView) -> None:
         """What other subsystems know beside the list has changed."""
-        self.state.external = outlook
+        self.state.external = view
         backends.form_cells(self.state)
 
     def tunnel_arrived(
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -121,7 +121,7 @@
         return min((row.message_goal for row in self.profiles if row.message_goal), default=0)
 
 
-class Outlook(NamedTuple):
+class ExternalView(NamedTuple):
     """What other subsystems know that bears on the choice, as plain values; the defaults say nothing."""
 
     aside: frozenset[int] = frozenset()  # backends that get nothing new; who is there stays
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -12,7 +12,7 @@
 from test_control import call, running
 
 from cedarledge.net.boxlist import BoxList
-from cedarledge.terms import Outcome, Outlook, Standing
+from cedarledge.terms import ExternalView, Outcome, Standing
 
 NAMES = "abcd"
 
@@ -34,7 +34,7 @@
         module = SimpleNamespace(
             tell=tell,
             balancer=ledger.balancer,
-            knows=lambda aside: ledger.balancer.knows(ledger.now, Outlook(aside=aside)),
+            knows=lambda aside: ledger.balancer.knows(ledger.now, ExternalView(aside=aside)),
         )
         self.boxes = BoxList(module, SimpleNamespace(tell=lambda *_: None), {"dcs": ["z"]})
         self.told(True, *[self.entry(name) for name in NAMES])
--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -22,7 +22,7 @@
 from cedarledge.operator.tables import BadFileError, read_tables
 from cedarledge.rig.scenario import Scenario, load_scenario, shipped
 from cedarledge.rig.schedule import plan_of
-from cedarledge.terms import Outlook
+from cedarledge.terms import ExternalView
 
 
 class Ear(Hearer):
@@ -178,11 +178,11 @@
 
 def test_what_is_set_aside_gets_nothing_new_unless_it_would_be_all() -> None:
     ledger = fleet(4, cells=1)
-    ledger.balancer.knows(ledger.now, Outlook(aside=frozenset({0, 1, 2})))
+    ledger.balancer.knows(ledger.now, ExternalView(aside=frozenset({0, 1, 2})))
     for number in range(6):
         ledger.arrive(key=f"k{number}")
     assert {ep for _, _, ep in ledger.sends} == {3}
-    ledger.balancer.knows(ledger.now, Outlook(aside=frozenset(range(4))))
+    ledger.balancer.knows(ledger.now, ExternalView(aside=frozenset(range(4))))
     for number in range(30):
         ledger.arrive(key=f"n{number}")
     assert len({ep for _, _, ep in ledger.sends}) > 1
