SiteFacts is DeploymentSettings, site_facts is deployment_settings

What a relay is told of its deployment are settings, not facts about a site. The tests of the policy, moves, bans and rules pass.

--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -9,7 +9,7 @@
 
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.policy import Balancer
-from cedarledge.terms import ExternalView, SiteFacts
+from cedarledge.terms import DeploymentSettings, ExternalView
 
 if TYPE_CHECKING:
     from cedarledge.net.backends import Backends
@@ -17,7 +17,7 @@
     from cedarledge.net.discovery import Watch
     from cedarledge.net.tunnels import Tunnels
 
-MakeBalancer = Callable[["Module", SiteFacts], Balancer]
+MakeBalancer = Callable[["Module", DeploymentSettings], Balancer]
 
 
 class Module:
@@ -39,7 +39,7 @@
         self.send, self.decline = tunnels.send, tunnels.decline
         self.close_with_error, self.move = tunnels.close_with_error, tunnels.move
 
-    def start(self, facts: SiteFacts, make: MakeBalancer = Balancer) -> None:
+    def start(self, facts: DeploymentSettings, make: MakeBalancer = Balancer) -> None:
         self.balancer = make(self, facts)
 
     def chance(self) -> float:
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -35,7 +35,7 @@
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.policy import Balancer
 from cedarledge.terms import MS, SECOND, ListForm, LoadReport
-from cedarledge.words import US, ReportReader, site_facts
+from cedarledge.words import US, ReportReader, deployment_settings
 
 if TYPE_CHECKING:
     from cedarledge.net.handover import Handover
@@ -98,7 +98,7 @@
             # Clients say whole milliseconds.
             waits = [max(MS, int(row["client_timeout"]) * US or LONGEST_STOP) for row in settings["profiles"]]
             # Clients' lines come back at once however slow the backend's messages are; they show hangs alone.
-            facts = site_facts(settings, orders.seed, self.clock(), self.boxes.zones)._replace(
+            facts = deployment_settings(settings, orders.seed, self.clock(), self.boxes.zones)._replace(
                 delays_told=False
             )
             allowed, reports = settings["allowed"], settings.get("load_report") or {}
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -90,7 +90,7 @@
     credit: float
 
 
-class SiteFacts(NamedTuple):
+class DeploymentSettings(NamedTuple):
     """What a relay is told at its start."""
 
     now: int
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -10,7 +10,7 @@
 from cedarledge.policy import Balancer
 from cedarledge.terms import Listed, LoadReport, Outcome
 from cedarledge.wirehost.words import FORMS, OUTCOMES, STANDINGS
-from cedarledge.words import US, Indices, ReportReader, mark_of, site_facts
+from cedarledge.words import US, Indices, ReportReader, deployment_settings, mark_of
 
 RETURNING = 2 | 16  # marks: a client's repeat, a client back from a break or a move
 encode = json.JSONEncoder(separators=(",", ":"), ensure_ascii=False).encode
@@ -37,7 +37,7 @@
         self.profiles = Indices([row["name"] for row in settings.get("profiles") or ()])
         self.tenants = Indices([row["name"] for row in settings.get("tenants") or ()])
         self.read_report = ReportReader(settings)
-        self.facts = site_facts(settings, seed, now, self.zones)
+        self.facts = deployment_settings(settings, seed, now, self.zones)
         self.balancer = Balancer(self, self.facts)
 
     # -- the host interface ------------------------------------------------------------------
--- a/cedarledge/words.py
+++ b/cedarledge/words.py
@@ -7,7 +7,7 @@
 from hashlib import blake2b
 from typing import Any
 
-from cedarledge.terms import MS, SECOND, Dedup, Effect, LoadReport, ProfileRow, SiteFacts
+from cedarledge.terms import MS, SECOND, Dedup, DeploymentSettings, Effect, LoadReport, ProfileRow
 
 US = 1_000
 
@@ -147,13 +147,15 @@
             _check_if_there(value, f"{place}[{number}]")
 
 
-def site_facts(settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]) -> SiteFacts:
+def deployment_settings(
+    settings: Mapping[str, Any], seed: int, now: int, zones: Mapping[str, int]
+) -> DeploymentSettings:
     allowed = settings["allowed"]
     safety = settings["safety"]
     domain = settings.get("domain") or {}
     goals = domain.get("message_aim") or ()
     overage = settings.get("overage_credit")
-    return SiteFacts(
+    return DeploymentSettings(
         now=now,
         seed=seed,
         me=settings.get("me", 0),
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -26,20 +26,20 @@
     NEVER_RAN,
     SECOND,
     Dedup,
+    DeploymentSettings,
     Effect,
     Listed,
     ListForm,
     LoadReport,
     Outcome,
     ProfileRow,
-    SiteFacts,
     Standing,
 )
 
 START = 1000 * SECOND
 
 
-def facts(window: int = 2 * SECOND, **other: object) -> SiteFacts:
+def facts(window: int = 2 * SECOND, **other: object) -> DeploymentSettings:
     rows = tuple(
         ProfileRow(effect, dedup, window, 300 * MS, 50 * MS, 1.0 + place)
         for place, (effect, dedup) in enumerate(
@@ -74,7 +74,7 @@
         quotas=(),
         over_share_credit=1.0,
     )
-    return SiteFacts(**(plain | other))
+    return DeploymentSettings(**(plain | other))
 
 
 def listed(
@@ -95,7 +95,7 @@
 class Ledger:
     """Records every call, and fails on the first that breaks a rule."""
 
-    def __init__(self, site: SiteFacts, answers: bool = True) -> None:
+    def __init__(self, site: DeploymentSettings, answers: bool = True) -> None:
         self.site = site
         self.answers = answers
         self.now = site.now
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -10,7 +10,7 @@
 from pytest import approx
 
 from cedarledge.terms import ListForm, Outcome, Standing
-from cedarledge.words import check_settings, site_facts
+from cedarledge.words import check_settings, deployment_settings
 
 # Told of few relays and cheap crossings, as at alba-live, and of more relays and dear crossings. What the
 # backends are, groups with it, is the same for both.
@@ -129,9 +129,9 @@
 
 
 def test_the_price_of_a_crossing_left_out_is_nothing_and_what_is_told_is_read() -> None:
-    assert site_facts(SETTINGS, 1, 0, {"here": 0}).crossing == 0
+    assert deployment_settings(SETTINGS, 1, 0, {"here": 0}).crossing == 0
     told = SETTINGS | {"prices": {"cross_zone": 0.1}}
-    assert site_facts(told, 1, 0, {"here": 0}).crossing == approx(0.1)
+    assert deployment_settings(told, 1, 0, {"here": 0}).crossing == approx(0.1)
 
 
 def test_settings_of_the_wrong_shape_are_named_by_their_place() -> None:
