Standing is BackendState

Ready, draining and gone are states of a backend, and the type says so now. The field of the list's entries keeps its name until the terms are gone through. No behaviour changes; the tests of the policy, moves, bans and rules pass.

--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -8,10 +8,10 @@
 from cedarledge.net.config import Address, address_of
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.module import Module
-from cedarledge.terms import MS, Listed, ListForm, Standing
+from cedarledge.terms import MS, BackendState, Listed, ListForm
 from cedarledge.words import Indices, mark_of
 
-PHASES = {"up": Standing.READY, "draining": Standing.DRAINING, "removed": Standing.GONE}
+PHASES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
 
 class BoxList:
@@ -35,12 +35,12 @@
     def entry(self, told: Mapping[str, Any]) -> Listed:
         """One entry in the module's terms. Raises KeyError, TypeError or ValueError for what is none."""
         # What the page does not name gets nothing new, as a draining one; the rest of the list still counts.
-        standing = PHASES.get(told["phase"], Standing.DRAINING)
+        standing = PHASES.get(told["phase"], BackendState.DRAINING)
         ep = self.eps[told["id"]]
-        if standing is not Standing.GONE:
+        if standing is not BackendState.GONE:
             self.addresses[ep] = address_of(told["host_port"])
-        if standing is Standing.READY and ep in self.banned:
-            standing = Standing.DRAINING
+        if standing is BackendState.READY and ep in self.banned:
+            standing = BackendState.DRAINING
         # One that was put back was started anew while it was out; the list may learn of that later.
         started = max(int(told.get("up_since_ms") or 0) * MS, self.back.get(ep, 0))
         return Listed(
@@ -65,7 +65,7 @@
             self.listed.clear()
         for told, entry in zip(members, entries, strict=True):
             self.listed[entry.ep] = told
-            if entry.standing is Standing.GONE:
+            if entry.standing is BackendState.GONE:
                 del self.listed[entry.ep]
         self.changed(form, entries)
 
@@ -77,7 +77,7 @@
         if form is not ListForm.CHANGES:
             self.ready.clear()
         self.ready -= {entry.ep for entry in entries}
-        self.ready |= {entry.ep for entry in entries if entry.standing is Standing.READY}
+        self.ready |= {entry.ep for entry in entries if entry.standing is BackendState.READY}
         self.module.tell(self.module.balancer.list_changed, form, entries)
         self.hearers.tell("listed", form, entries)
 
--- a/cedarledge/policy/backends.py
+++ b/cedarledge/policy/backends.py
@@ -3,7 +3,7 @@
 import math
 
 from cedarledge.policy.state import Backend, Connection, State
-from cedarledge.terms import SECOND, Listed, ListForm, Standing
+from cedarledge.terms import SECOND, BackendState, Listed, ListForm
 
 DRAIN_TIME = 4 * SECOND  # a draining backend ends soon, and cuts off many by itself
 WEIGHT_STEPS = 2  # ranks in a doubling of weights: all relays would fill the one that is a hair ahead
@@ -13,7 +13,7 @@
     """Follows the list."""
     named = {entry.ep for entry in entries}
     for backend_id in state.backends.keys() - named if form is not ListForm.CHANGES else ():
-        state.backends[backend_id].state = Standing.GONE
+        state.backends[backend_id].state = BackendState.GONE
     add(state, [entry.ep for entry in entries])
     for entry in entries:
         _follow(state, now, state.backends[entry.ep], entry)
@@ -33,7 +33,7 @@
         backend.reset()
     backend.cell, backend.zone, backend.kind, backend.hash_id = entry.cell, entry.zone, entry.kind, entry.mark
     backend.weight = entry.weight if state.settings.ranked else 1.0
-    if entry.standing is Standing.DRAINING and backend.state is not Standing.DRAINING:
+    if entry.standing is BackendState.DRAINING and backend.state is not BackendState.DRAINING:
         backend.drain_by = now + DRAIN_TIME
     backend.started_at, backend.state = entry.started, entry.standing
     backend.cold_until = entry.started + state.settings.warm_within if entry.started > 0 else 0
@@ -43,7 +43,7 @@
 
 def form_cells(state: State) -> None:
     """Sorts the backends that may take new connections into cells, the heaviest first."""
-    ready = [backend for backend in state.backends.values() if backend.state is Standing.READY]
+    ready = [backend for backend in state.backends.values() if backend.state is BackendState.READY]
     # All aside is a slip that would close the site, so it is not followed.
     offered = [backend for backend in ready if backend.backend_id not in state.external.aside] or ready
     state.cells = {}
--- a/cedarledge/policy/balancer.py
+++ b/cedarledge/policy/balancer.py
@@ -152,7 +152,7 @@
         backends.release(state, now, connection)
         if not connection.opened_at:
             self._failed(now, connection, backend, outcome, took)
-        elif outcome is Outcome.RESET and backend.state is terms.Standing.READY:
+        elif outcome is Outcome.RESET and backend.state is terms.BackendState.READY:
             backend.mark_busy(now)  # it dropped a running connection: the design's third sign
         if over or connection.ended:
             del state.connections[connection_id]
@@ -264,6 +264,6 @@
             rebalance.drain(state, now, state.connections, state.stop_by)
             return
         for backend in list(state.holding.values()):
-            if backend.state is terms.Standing.DRAINING:
+            if backend.state is terms.BackendState.DRAINING:
                 rebalance.drain(state, now, backend.connections, backend.drain_by)
         self.relieve(state, now)
--- a/cedarledge/policy/probing.py
+++ b/cedarledge/policy/probing.py
@@ -2,7 +2,7 @@
 
 from cedarledge.policy.state import Backend, Connection, State
 from cedarledge.policy.utilization import OVERLOADED, current
-from cedarledge.terms import MS, SECOND, Standing
+from cedarledge.terms import MS, SECOND, BackendState
 
 SHORTEST_INTERVAL, LONGEST_INTERVAL = SECOND, 4 * SECOND
 PROBES_PER_ARRIVAL = 2  # more cost a large fleet of relays more than their news is worth
@@ -32,11 +32,11 @@
     if not state.ready or not state.settings.probes:
         return
     interval = _interval(state, now)
-    held = [backend for backend in state.holding.values() if backend.state is Standing.READY]
+    held = [backend for backend in state.holding.values() if backend.state is BackendState.READY]
     if now >= state.next_probe:
         state.next_probe = now + interval
         # The longest unprobed, which meets new backends soon, with a head start for those with clients here.
-        first = next(backend for backend in state.probe_order.values() if backend.state is Standing.READY)
+        first = next(backend for backend in state.probe_order.values() if backend.state is BackendState.READY)
         sooner = min(held, key=_turn, default=first)
         probe(state, now, sooner if HEAD_START * (now - sooner.probed_at) > now - first.probed_at else first)
     # Before their turn, but once an interval: in a storm that all relays feel more cost more than they tell.
--- a/cedarledge/policy/rebalance.py
+++ b/cedarledge/policy/rebalance.py
@@ -2,7 +2,7 @@
 
 from cedarledge.policy import cells, ejection, shedding, utilization
 from cedarledge.policy.state import TICK, Backend, Connection, State
-from cedarledge.terms import MS, SECOND, Standing
+from cedarledge.terms import MS, SECOND, BackendState
 
 MOVES_PER_TICK = 2  # a wave of clients coming back at once can drown what all attempts need
 QUEUE_DRAIN_TIME = 2 * SECOND  # in which a backend is to work off what is queued
@@ -41,7 +41,7 @@
         _shed(state, now)
     if fleet > (utilization.FULL_WITH_GROUPS if grouped else ROOM):
         return
-    ready = (backend for backend in state.holding.values() if backend.state is Standing.READY)
+    ready = (backend for backend in state.holding.values() if backend.state is BackendState.READY)
     surplus, left = {backend: _surplus(state, now, backend) for backend in ready}, MOVES_PER_TICK
     for backend in sorted(surplus, key=surplus.__getitem__, reverse=True):
         if surplus[backend] > 0:
--- a/cedarledge/policy/state.py
+++ b/cedarledge/policy/state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from cedarledge.policy.estimators import DecayingRatio, DecayingSum
-from cedarledge.terms import MS, SECOND, DeploymentSettings, ExternalView, Host, Standing
+from cedarledge.terms import MS, SECOND, BackendState, DeploymentSettings, ExternalView, Host
 
 TICK = 250 * MS
 SETTLING_TIME = 40 * SECOND  # how long a relay that starts or returns holds less than its share
@@ -19,7 +19,7 @@
     drain_by = 0  # set for those that drain; with fewer than 30 attributes instances share their keys
 
     def __init__(self, backend_id: int, tie_break: float) -> None:
-        self.backend_id, self.tie_break, self.state = backend_id, tie_break, Standing.GONE
+        self.backend_id, self.tie_break, self.state = backend_id, tie_break, BackendState.GONE
         self.cell = self.zone = self.kind = self.hash_id = self.started_at = -1
         self.cold_until = self.probed_at = self.open = self.pending = 0
         self.weight, self.load, self.recent_load = 1.0, 0.0, DecayingSum(SECOND)
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -41,7 +41,7 @@
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
-class Standing(IntEnum):
+class BackendState(IntEnum):
     READY = 0
     DRAINING = 1
     GONE = 2
@@ -62,7 +62,7 @@
     zone: int
     kind: int
     weight: float
-    standing: Standing
+    standing: BackendState
     started: int  # 0: long ago
     mark: int  # a number below 2**63 that every relay has for this backend
 
--- a/cedarledge/wirehost/words.py
+++ b/cedarledge/wirehost/words.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from cedarledge.terms import ListForm, Outcome, Standing
+from cedarledge.terms import BackendState, ListForm, Outcome
 
 FORMS = {
     "update": ListForm.CHANGES,
@@ -10,7 +10,7 @@
     "restored": ListForm.RESTORED,
     "unavailable": ListForm.UNAVAILABLE,
 }
-STANDINGS = {"Running": Standing.READY, "Stopping": Standing.DRAINING, "Deleted": Standing.GONE}
+STANDINGS = {"Running": BackendState.READY, "Stopping": BackendState.DRAINING, "Deleted": BackendState.GONE}
 OUTCOMES = {
     "S": Outcome.DONE,
     "E": Outcome.ERROR,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -25,6 +25,7 @@
     MS,
     NEVER_RAN,
     SECOND,
+    BackendState,
     Dedup,
     DeploymentSettings,
     Effect,
@@ -33,7 +34,6 @@
     LoadReport,
     Outcome,
     ProfileRow,
-    Standing,
 )
 
 START = 1000 * SECOND
@@ -78,7 +78,11 @@
 
 
 def listed(
-    ep: int, standing: Standing = Standing.READY, started: int = 0, cells: int = 2, weight: float = 1.0
+    ep: int,
+    standing: BackendState = BackendState.READY,
+    started: int = 0,
+    cells: int = 2,
+    weight: float = 1.0,
 ) -> Listed:
     return Listed(ep, ep % cells, ep % 2, 0, weight, standing, started, ep)
 
@@ -121,7 +125,7 @@
         assert all(setup[2] is not None for setup in case.setups), "two setups out at once"
         assert len(case.setups) < self.site.most_setups
         assert 0 < timeout <= case.give_up - self.now, "a time-out past the client timeout"
-        assert self.listing[ep].standing is Standing.READY, "a send to a draining or gone backend"
+        assert self.listing[ep].standing is BackendState.READY, "a send to a draining or gone backend"
         ran = self._may_have_run(case)
         if ran and row.effect is not Effect.REPEATABLE:
             assert row.effect is Effect.REFERENCED, "a once-only tunnel may run twice"
@@ -181,7 +185,7 @@
         if form is not ListForm.UNAVAILABLE:
             if form is not ListForm.CHANGES:
                 for ep, old in self.listing.items():
-                    self.listing[ep] = old._replace(standing=Standing.GONE)
+                    self.listing[ep] = old._replace(standing=BackendState.GONE)
             self.listing |= {entry.ep: entry for entry in entries}
         self.balancer.list_changed(self.now, form, list(entries))
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -12,7 +12,7 @@
 from test_control import call, running
 
 from cedarledge.net.boxlist import BoxList
-from cedarledge.terms import ExternalView, Outcome, Standing
+from cedarledge.terms import BackendState, ExternalView, Outcome
 
 NAMES = "abcd"
 
@@ -117,7 +117,7 @@
         assert not {boxes.eps.names[ep] for _, ep in ledger.probes[probes:]} & banned
         # What is not banned, and up, is never lost by it.
         for ep, entry in ledger.listing.items():
-            assert boxes.eps.names[ep] not in banned or entry.standing is not Standing.READY
+            assert boxes.eps.names[ep] not in banned or entry.standing is not BackendState.READY
 
 
 def test_a_ban_on_all_is_followed_where_a_list_of_all_to_set_aside_is_not() -> None:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -13,7 +13,7 @@
 from cedarledge.policy.placement import SKIP_FACTOR
 from cedarledge.policy.probing import MOST_PROBES
 from cedarledge.policy.state import TICK
-from cedarledge.terms import ListForm, Outcome, Standing
+from cedarledge.terms import BackendState, ListForm, Outcome
 
 
 def placed(ledger, tun: int) -> int:
@@ -61,7 +61,7 @@
 def test_a_draining_member_gets_nothing_new() -> None:
     ledger = fleet(4)
     first = placed(ledger, ledger.arrive(key="one"))
-    ledger.tell(ListForm.CHANGES, listed(first, Standing.DRAINING))
+    ledger.tell(ListForm.CHANGES, listed(first, BackendState.DRAINING))
     assert placed(ledger, ledger.arrive(key="one")) != first
 
 
@@ -271,7 +271,7 @@
     left = []
     for ledger in ledgers:
         ledger.adopt(0)
-        ledger.tell(ListForm.CHANGES, listed(0, Standing.DRAINING))
+        ledger.tell(ListForm.CHANGES, listed(0, BackendState.DRAINING))
     for _ in range(17):
         for ledger in ledgers:
             ledger.run(250 * MS)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -9,7 +9,7 @@
 from helpers import MS, SECOND, START, Ledger, facts, listed
 from pytest import approx
 
-from cedarledge.terms import ListForm, Outcome, Standing
+from cedarledge.terms import BackendState, ListForm, Outcome
 from cedarledge.words import check_settings, deployment_settings
 
 # Told of few relays and cheap crossings, as at alba-live, and of more relays and dear crossings. What the
@@ -98,7 +98,7 @@
 def test_both_kinds_of_relay_keep_the_rules_and_neither_starves_the_other() -> None:
     fleet = Fleet(SHAPES)
     fleet.run(15 * SECOND, 20)  # two thirds full
-    fleet.tell(listed(0, Standing.DRAINING, cells=4))
+    fleet.tell(listed(0, BackendState.DRAINING, cells=4))
     fleet.run(18 * SECOND, 20)  # no ledger takes a send to it
     started = fleet.ledgers[0].now
     fleet.tell(listed(COLD, started=started, cells=4))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,7 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from cedarledge.terms import ListForm, Outcome, Standing
+from cedarledge.terms import BackendState, ListForm, Outcome
 
 EPS = st.integers(0, 7)
 FAILURES = st.sampled_from([outcome for outcome in Outcome if outcome is not Outcome.DONE])
@@ -115,8 +115,8 @@
         if ep in self.ledger.listing:
             self.ledger.report(ep, asked)
 
-    @rule(ep=EPS, standing=st.sampled_from(Standing), restarted=st.booleans())
-    def change(self, ep: int, standing: Standing, restarted: bool) -> None:
+    @rule(ep=EPS, standing=st.sampled_from(BackendState), restarted=st.booleans())
+    def change(self, ep: int, standing: BackendState, restarted: bool) -> None:
         started = self.ledger.now if restarted else 0
         self.ledger.tell(ListForm.CHANGES, listed(ep, standing, started, self.cells))
 
@@ -207,6 +207,10 @@
             assert ledger.cases[tun].setups or not size or gone == turn
         ledger.run(3 * SECOND)
         ledger.check()
-        changes = (Standing.GONE, Standing.READY) if turn == gone else (Standing.DRAINING, Standing.READY)
+        changes = (
+            (BackendState.GONE, BackendState.READY)
+            if turn == gone
+            else (BackendState.DRAINING, BackendState.READY)
+        )
         for standing in changes:
             ledger.tell(ListForm.CHANGES, *(listed(ep, standing, cells=cells) for ep in range(size)))
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -22,7 +22,7 @@
 from cedarledge.net.slots import FullError, Slots
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.policy import Balancer
-from cedarledge.terms import ListForm, LoadReport, Outcome, Standing
+from cedarledge.terms import BackendState, ListForm, LoadReport, Outcome
 
 BOXES, MOST = 4, 5
 FAILED = [Outcome.ERROR, Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT]
@@ -197,7 +197,7 @@
             self.tunnels.client_ended(client.tun, abrupt=bool(pick % 2))
             client.said.append("LEFT")
 
-    def lists(self, pick: int, standing: Standing) -> None:
+    def lists(self, pick: int, standing: BackendState) -> None:
         ep = pick % BOXES
         self.listing[ep] = self.listing[ep]._replace(standing=standing)
         self.boxes.changed(ListForm.CHANGES, [self.listing[ep]])
@@ -240,7 +240,7 @@
     st.tuples(st.just("fails"), pick, st.sampled_from(FAILED)),
     st.tuples(st.just("box_ends"), pick, st.sampled_from([Outcome.DONE, Outcome.RESET, Outcome.CANCELLED])),
     st.tuples(st.just("leaves"), pick),
-    st.tuples(st.just("lists"), pick, st.sampled_from(list(Standing))),
+    st.tuples(st.just("lists"), pick, st.sampled_from(list(BackendState))),
     st.tuples(st.just("reports"), pick, st.sampled_from([0.1, 0.9, 1.5, 9.0])),
     st.tuples(st.just("waits"), st.sampled_from([1, 40, 300, 2500])),
     st.tuples(st.just("silent"), pick),
