Host is PolicyHost, the interface that the policy calls

A host by itself may be a machine; the protocol is what hosts of the policy implement. No behaviour changes; the tests of the policy, moves and seams pass.

--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -21,7 +21,7 @@
 
 
 class Module:
-    """The host of one Balancer (terms.Host), and the way by which everything reaches it."""
+    """The host of one Balancer (terms.PolicyHost), and the way by which everything reaches it."""
 
     balancer: Balancer
 
--- a/cedarledge/policy/balancer.py
+++ b/cedarledge/policy/balancer.py
@@ -19,7 +19,7 @@
     record_failure = staticmethod(ejection.record_failure)
     relieve = staticmethod(rebalance.tick)
 
-    def __init__(self, host: terms.Host, settings: terms.DeploymentSettings) -> None:
+    def __init__(self, host: terms.PolicyHost, settings: terms.DeploymentSettings) -> None:
         self.state = State(host, settings)
         self.chance = self.state.chance
         self.counts = {"rank": 0, "skip": 0, "spill": 0, "fewest": 0, "last": 0}  # by rule
--- a/cedarledge/policy/state.py
+++ b/cedarledge/policy/state.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from cedarledge.policy.estimators import DecayingRatio, DecayingSum
-from cedarledge.terms import MS, SECOND, BackendState, DeploymentSettings, ExternalView, Host
+from cedarledge.terms import MS, SECOND, BackendState, DeploymentSettings, ExternalView, PolicyHost
 
 TICK = 250 * MS
 SETTLING_TIME = 40 * SECOND  # how long a relay that starts or returns holds less than its share
@@ -70,7 +70,7 @@
 class State:
     """All that the parts of one relay's policy share."""
 
-    def __init__(self, host: Host, settings: DeploymentSettings) -> None:
+    def __init__(self, host: PolicyHost, settings: DeploymentSettings) -> None:
         self.host, self.settings, self.external = host, settings, ExternalView()
         self.chance = random.Random(settings.seed).random
         self.stop_by = self.list_delay = 0  # when all clients are to be gone, 0: in service
--- a/cedarledge/rig/baselines.py
+++ b/cedarledge/rig/baselines.py
@@ -19,7 +19,7 @@
 from cedarledge.policy.placement import Choice
 from cedarledge.policy.retries import may_attempt
 from cedarledge.policy.state import Backend, Connection, State
-from cedarledge.terms import DeploymentSettings, Host
+from cedarledge.terms import DeploymentSettings, PolicyHost
 
 ALONE_SALT = 1 << 41
 
@@ -29,7 +29,7 @@
     where the rules allow it. Drains, the list, and the rules on effects are the relay's, or nothing would be
     compared. No probes, no moves but off draining backends, and nobody is ejected for a failed answer."""
 
-    def __init__(self, host: Host, settings: DeploymentSettings) -> None:
+    def __init__(self, host: PolicyHost, settings: DeploymentSettings) -> None:
         super().__init__(host, settings._replace(probes=False))
 
     def choose(self, state: State, now: int, connection: Connection) -> Choice | None:
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -127,7 +127,7 @@
     aside: frozenset[int] = frozenset()  # backends that get nothing new; who is there stays
 
 
-class Host(Protocol):
+class PolicyHost(Protocol):
     """What the decision module may have done; every call takes effect at the time of the running event."""
 
     def send(self, tun: int, ep: int, timeout: int) -> None: ...
