words.py is settings.py

The file reads the settings for both hosts and is named for that. The adapter's own wirehost/words.py, the words of its wire, stays. No behaviour changes; the tests of moves, customers' settings and net pass.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -17,8 +17,8 @@
 from cedarledge.net.links import Link, Means
 from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError
+from cedarledge.settings import ReportReader
 from cedarledge.terms import MS, LoadReport, Outcome
-from cedarledge.words import ReportReader
 
 # First words of the lines that end a setup or an open tunnel.
 LAST_WORDS = {b"BYE": Outcome.DONE, b"MOVE": Outcome.CANCELLED, b"ERR": Outcome.ERROR, b"BUSY": Outcome.FULL}
--- a/cedarledge/net/beliefs.py
+++ b/cedarledge/net/beliefs.py
@@ -11,7 +11,7 @@
 
 from cedarledge.policy import Balancer
 from cedarledge.policy.estimators import DecayingRatio
-from cedarledge.words import Indices
+from cedarledge.settings import Indices
 
 Sums = list[float]
 
--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -8,8 +8,8 @@
 from cedarledge.net.config import Address, address_of
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.module import Module
+from cedarledge.settings import Indices, mark_of
 from cedarledge.terms import MS, BackendState, Listed, ListForm
-from cedarledge.words import Indices, mark_of
 
 PHASES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
-from cedarledge.words import check_settings
+from cedarledge.settings import check_settings
 
 Address = tuple[str, int]
 
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -33,8 +33,8 @@
 from cedarledge.net.seams import Front
 from cedarledge.net.service import Service, UnknownError
 from cedarledge.net.tunnels import Tunnels
+from cedarledge.settings import mark_of
 from cedarledge.terms import MS, ListForm
-from cedarledge.words import mark_of
 
 # Of what is told. Another version is not understood, and who asks in one goes on alone.
 VERSION = 2
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -34,8 +34,8 @@
 from cedarledge.net.slots import Slots
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.policy import Balancer
+from cedarledge.settings import US, ReportReader, deployment_settings
 from cedarledge.terms import MS, SECOND, ListForm, LoadReport
-from cedarledge.words import US, ReportReader, deployment_settings
 
 if TYPE_CHECKING:
     from cedarledge.net.handover import Handover
--- a/cedarledge/wirehost/wire.py
+++ b/cedarledge/wirehost/wire.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from cedarledge.policy import Balancer
+from cedarledge.settings import US, Indices, ReportReader, deployment_settings, mark_of
 from cedarledge.terms import Listed, LoadReport, Outcome
 from cedarledge.wirehost.words import FORMS, OUTCOMES, STANDINGS
-from cedarledge.words import US, Indices, ReportReader, deployment_settings, mark_of
 
 RETURNING = 2 | 16  # marks: a client's repeat, a client back from a break or a move
 encode = json.JSONEncoder(separators=(",", ":"), ensure_ascii=False).encode
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -19,8 +19,8 @@
 from cedarledge.net import relay as relays
 from cedarledge.net.clients import read_opening
 from cedarledge.net.config import StartingOrders
+from cedarledge.settings import NEEDED, NEEDED_OF_PROFILES, check_settings
 from cedarledge.terms import LoadReport
-from cedarledge.words import NEEDED, NEEDED_OF_PROFILES, check_settings
 
 # With all that the pages name and the program reads.
 WHOLE: dict[str, Any] = copy.deepcopy(SETTINGS) | {
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -22,7 +22,7 @@
 from cedarledge.net.handover import VERSION, NotFollowedError, line_of, own_path, read_estate
 from cedarledge.policy import utilization
 from cedarledge.policy.estimators import usual_load
-from cedarledge.words import Indices
+from cedarledge.settings import Indices
 
 
 class Pair(Program):
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -9,8 +9,8 @@
 from helpers import MS, SECOND, START, Ledger, facts, listed
 from pytest import approx
 
+from cedarledge.settings import check_settings, deployment_settings
 from cedarledge.terms import BackendState, ListForm, Outcome
-from cedarledge.words import check_settings, deployment_settings
 
 # Told of few relays and cheap crossings, as at alba-live, and of more relays and dear crossings. What the
 # backends are, groups with it, is the same for both.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -29,8 +29,8 @@
 from cedarledge.net.links import Means
 from cedarledge.net.paces import Paces
 from cedarledge.net.slots import FullError, Slots
+from cedarledge.settings import ReportReader
 from cedarledge.terms import Outcome
-from cedarledge.words import ReportReader
 
 often = settings(derandomize=True, deadline=None, max_examples=200)
 
