--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -7,9 +7,9 @@
 
 from loguru import logger
 
-from cedarledge.choice import Balancer
 from cedarledge.net.deadlines import Deadlines
-from cedarledge.terms import Outlook, SiteFacts
+from cedarledge.policy import Balancer
+from cedarledge.terms import DeploymentSettings, ExternalView
 
 if TYPE_CHECKING:
     from cedarledge.net.backends import Backends
@@ -17,18 +17,18 @@
     from cedarledge.net.discovery import Watch
     from cedarledge.net.tunnels import Tunnels
 
-MakeBalancer = Callable[["Module", SiteFacts], Balancer]
+MakeBalancer = Callable[["Module", DeploymentSettings], Balancer]
 
 
 class Module:
-    """The host of one Balancer (terms.Host), and the way by which everything reaches it."""
+    """The host of one Balancer (terms.PolicyHost), and the way by which everything reaches it."""
 
     balancer: Balancer
 
     def __init__(self, clock: Callable[[], int], deadlines: Deadlines) -> None:
         self.clock = clock
         self.deadlines = deadlines
-        self.outlook = Outlook()
+        self.external_view = ExternalView()
 
     def join(self, tunnels: Tunnels, backends: Backends, boxes: BoxList, watching: Watch) -> None:
         self.tunnels = tunnels
@@ -39,7 +39,7 @@
         self.send, self.decline = tunnels.send, tunnels.decline
         self.close_with_error, self.move = tunnels.close_with_error, tunnels.move
 
-    def start(self, facts: SiteFacts, make: MakeBalancer = Balancer) -> None:
+    def start(self, facts: DeploymentSettings, make: MakeBalancer = Balancer) -> None:
         self.balancer = make(self, facts)
 
     def chance(self) -> float:
@@ -58,11 +58,11 @@
         return True
 
     def knows(self, **known: Any) -> None:
-        """A subsystem's fields of the outlook have changed."""
-        outlook = self.outlook._replace(**known)
-        if outlook != self.outlook:
-            self.outlook = outlook
-            self.tell(self.balancer.knows, outlook)
+        """A subsystem's fields of the external view have changed."""
+        external_view = self.external_view._replace(**known)
+        if external_view != self.external_view:
+            self.external_view = external_view
+            self.tell(self.balancer.knows, external_view)
 
     # -- the rest of the host interface ------------------------------------------------------------
 
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -41,7 +41,7 @@
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT))
 
 
-class Standing(IntEnum):
+class BackendState(IntEnum):
     READY = 0
     DRAINING = 1
     GONE = 2
@@ -62,7 +62,7 @@
     zone: int
     kind: int
     weight: float
-    standing: Standing
+    standing: BackendState
     started: int  # 0: long ago
     mark: int  # a number below 2**63 that every relay has for this backend
 
@@ -90,7 +90,7 @@
     credit: float
 
 
-class SiteFacts(NamedTuple):
+class DeploymentSettings(NamedTuple):
     """What a relay is told at its start."""
 
     now: int
@@ -121,13 +121,13 @@
         return min((row.message_goal for row in self.profiles if row.message_goal), default=0)
 
 
-class Outlook(NamedTuple):
+class ExternalView(NamedTuple):
     """What other subsystems know that bears on the choice, as plain values; the defaults say nothing."""
 
     aside: frozenset[int] = frozenset()  # backends that get nothing new; who is there stays
 
 
-class Host(Protocol):
+class PolicyHost(Protocol):
     """What the decision module may have done; every call takes effect at the time of the running event."""
 
     def send(self, tun: int, ep: int, timeout: int) -> None: ...
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -12,7 +12,7 @@
 from test_control import call, running
 
 from cedarledge.net.boxlist import BoxList
-from cedarledge.terms import Outcome, Outlook, Standing
+from cedarledge.terms import BackendState, ExternalView, Outcome
 
 NAMES = "abcd"
 
@@ -32,14 +32,23 @@
             return True
 
         module = SimpleNamespace(
-            tell=tell, balancer=ledger.balancer,
-            knows=lambda aside: ledger.balancer.knows(ledger.now, Outlook(aside=aside)))
+            tell=tell,
+            balancer=ledger.balancer,
+            knows=lambda aside: ledger.balancer.knows(ledger.now, ExternalView(aside=aside)),
+        )
         self.boxes = BoxList(module, SimpleNamespace(tell=lambda *_: None), {"dcs": ["z"]})
         self.told(True, *[self.entry(name) for name in NAMES])
 
     def entry(self, name: str, phase: str = "up", started: int = 0) -> dict:
-        return {"id": name, "host_port": "127.0.0.1:1", "locality": "z", "cell": NAMES.index(name) % 2,
-                "phase": phase, "size": 1.0, "up_since_ms": started}
+        return {
+            "id": name,
+            "host_port": "127.0.0.1:1",
+            "locality": "z",
+            "cell": NAMES.index(name) % 2,
+            "phase": phase,
+            "size": 1.0,
+            "up_since_ms": started,
+        }
 
     def told(self, whole: bool, *members: dict) -> None:
         self.boxes.told(whole, list(members))
@@ -51,9 +60,30 @@
         self.boxes.put_back(self.boxes.known(name), self.ledger.now)
 
 
-@given(steps=st.lists(st.tuples(st.sampled_from(("ban", "ban", "back", "up", "draining", "removed", "whole",
-                                                 "restarted", "arrive", "arrive", "aside", "wait")),
-                                st.sampled_from(NAMES)), max_size=60))
+@given(
+    steps=st.lists(
+        st.tuples(
+            st.sampled_from(
+                (
+                    "ban",
+                    "ban",
+                    "back",
+                    "up",
+                    "draining",
+                    "removed",
+                    "whole",
+                    "restarted",
+                    "arrive",
+                    "arrive",
+                    "aside",
+                    "wait",
+                )
+            ),
+            st.sampled_from(NAMES),
+        ),
+        max_size=60,
+    )
+)
 @settings(derandomize=True, deadline=None, max_examples=200)
 def test_nothing_new_goes_to_a_banned_backend_whatever_the_list_says(steps: list[tuple[str, str]]) -> None:
     site = Listed()
@@ -87,7 +117,7 @@
         assert not {boxes.eps.names[ep] for _, ep in ledger.probes[probes:]} & banned
         # What is not banned, and up, is never lost by it.
         for ep, entry in ledger.listing.items():
-            assert boxes.eps.names[ep] not in banned or entry.standing is not Standing.READY
+            assert boxes.eps.names[ep] not in banned or entry.standing is not BackendState.READY
 
 
 def test_a_ban_on_all_is_followed_where_a_list_of_all_to_set_aside_is_not() -> None:
@@ -108,19 +138,20 @@
 def test_one_that_comes_back_is_cold_and_forgotten_whatever_the_list_says() -> None:
     site = Listed()
     ledger, now = site.ledger, START
-    ledger.balancer.members[0].strikes, ledger.balancer.members[0].out_until = 5, now + 100 * SECOND
+    struck = ledger.balancer.state.backends[0]
+    struck.ejections, struck.ejected_until = 5, now + 100 * SECOND
     site.ban("a")
     ledger.now += 3 * SECOND
     site.put_back("a")
-    member = ledger.balancer.members[0]
-    assert member.started == ledger.now and not member.strikes and member.asked < 0
+    member = ledger.balancer.state.backends[0]
+    assert member.started_at == ledger.now and not member.ejections and member.reported < 0
     # An old word of discovery does not make it warm, nor forget again what was learned since.
     ledger.report(0, 0.3)
     site.told(False, site.entry("a", "up", 5))
-    assert member.started == ledger.now and member.asked == 0.3
+    assert member.started_at == ledger.now and member.reported == 0.3
     ledger.now += SECOND
     site.told(False, site.entry("a", "up", ledger.now // MS))
-    assert member.started == ledger.now and member.asked < 0, "one more restart is one"
+    assert member.started_at == ledger.now and member.reported < 0, "one more restart is one"
     # Where the list has told of the restart while it was out, that is when it started.
     site.ban("b")
     ledger.now += SECOND
@@ -128,7 +159,7 @@
     site.told(False, site.entry("b", "up", at // MS))
     ledger.now += SECOND
     site.put_back("b")
-    assert ledger.balancer.members[1].started == at
+    assert ledger.balancer.state.backends[1].started_at == at
 
 
 def test_its_clients_are_moved_and_it_gets_the_first_of_the_next(tmp_path: Path) -> None:
@@ -184,13 +215,15 @@
     # The host asks once more before it writes (Tunnels.may_send), and says that it was not sent.
     assert ep not in site.boxes.ready
     ledger.end(tun, Outcome.NOT_SENT)
-    while tun in ledger.balancer.looking:
-        ledger.report(ledger.balancer.looking[tun], 0.1)
+    while tun in ledger.balancer.state.waiting:
+        ledger.report(ledger.balancer.state.waiting[tun].backend_id, 0.1)
     assert ledger.sends[-1][2] != ep, "it goes elsewhere"
 
 
 def test_names_are_as_the_list_has_them(tmp_path: Path) -> None:
     with running(tmp_path, Backend("a b/c")) as (_, control):
-        answers = [call(control, "POST", f"/control/backends/{name}/offline")
-                   for name in ("x", "", "a%20b", "a%20b%2Fc")]
+        answers = [
+            call(control, "POST", f"/control/backends/{name}/offline")
+            for name in ("x", "", "a%20b", "a%20b%2Fc")
+        ]
         assert answers == [404, 404, 404, 200]
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -9,8 +9,8 @@
 from helpers import MS, SECOND, START, Ledger, facts, listed
 from pytest import approx
 
-from cedarledge.terms import ListForm, Outcome, Standing
-from cedarledge.words import check_settings, site_facts
+from cedarledge.settings import check_settings, deployment_settings
+from cedarledge.terms import BackendState, ListForm, Outcome
 
 # Told of few relays and cheap crossings, as at alba-live, and of more relays and dear crossings. What the
 # backends are, groups with it, is the same for both.
@@ -74,7 +74,7 @@
         ledger = self.ledgers[which]
         count = self.asked["old" if ledger.site.relays == OLD["relays"] else "new"]
         count[0] += 1
-        for ep in ledger.balancer.members:
+        for ep in ledger.balancer.state.backends:
             ledger.told[ep] = self.held.get(ep, 0) / FULL_AT
         key = f"client {self.chance.randrange(400)}"
         tun = ledger.arrive(key=key, group=f"firm {self.chance.randrange(20)}", budget=2 * SECOND)
@@ -98,7 +98,7 @@
 def test_both_kinds_of_relay_keep_the_rules_and_neither_starves_the_other() -> None:
     fleet = Fleet(SHAPES)
     fleet.run(15 * SECOND, 20)  # two thirds full
-    fleet.tell(listed(0, Standing.DRAINING, cells=4))
+    fleet.tell(listed(0, BackendState.DRAINING, cells=4))
     fleet.run(18 * SECOND, 20)  # no ledger takes a send to it
     started = fleet.ledgers[0].now
     fleet.tell(listed(COLD, started=started, cells=4))
@@ -123,30 +123,36 @@
     "allowed": {"most_setups": 4, "connect_timeout": 150_000},
     "safety": {"cold_from": 0.2, "warm_within": 9_000_000, "fall_multiple": 3, "overload_for": 2_000_000},
     "profiles": [{"name": "feed", "setup_goal": 300_000, "client_timeout": 900_000, "credit": 1}],
-    "zone": "here", "dcs": ["here", "there"]}
+    "zone": "here",
+    "dcs": ["here", "there"],
+}
 
 
 def test_the_price_of_a_crossing_left_out_is_nothing_and_what_is_told_is_read() -> None:
-    assert site_facts(SETTINGS, 1, 0, {"here": 0}).crossing == 0
+    assert deployment_settings(SETTINGS, 1, 0, {"here": 0}).crossing == 0
     told = SETTINGS | {"prices": {"cross_zone": 0.1}}
-    assert site_facts(told, 1, 0, {"here": 0}).crossing == approx(0.1)
+    assert deployment_settings(told, 1, 0, {"here": 0}).crossing == approx(0.1)
 
 
 def test_settings_of_the_wrong_shape_are_named_by_their_place() -> None:
     check_settings(SETTINGS | {"prices": {"cross_zone": 1}, "group_size": 170})
     for place, told in (
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": "dear"}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": 1.5}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": True}}),
-            ("settings.prices", {"prices": 0.1}), ("settings.prices", {"prices": 0}),
-            ("settings.prices", {"prices": ""}), ("settings.domain", {"domain": False}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": False}}),
-            ("settings.prices.cross_zone", {"prices": {"cross_zone": ""}}),
-            ("settings.overage_credit", {"overage_credit": []}),
-            ("settings.overage_credit", {"overage_credit": 10**400}),
-            ("settings.zone", {"zone": "nowhere"}),
-            ("settings.domain.groups", {"domain": {"groups": "false"}}),
-            ("settings.group_size", {"group_size": 0}), ("settings.group_size", {"group_size": "4"})):
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": "dear"}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": 1.5}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": True}}),
+        ("settings.prices", {"prices": 0.1}),
+        ("settings.prices", {"prices": 0}),
+        ("settings.prices", {"prices": ""}),
+        ("settings.domain", {"domain": False}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": False}}),
+        ("settings.prices.cross_zone", {"prices": {"cross_zone": ""}}),
+        ("settings.overage_credit", {"overage_credit": []}),
+        ("settings.overage_credit", {"overage_credit": 10**400}),
+        ("settings.zone", {"zone": "nowhere"}),
+        ("settings.domain.groups", {"domain": {"groups": "false"}}),
+        ("settings.group_size", {"group_size": 0}),
+        ("settings.group_size", {"group_size": "4"}),
+    ):
         try:
             check_settings(SETTINGS | told)
         except ValueError as why:
@@ -157,6 +163,7 @@
 
 def test_what_alba_live_is_told_of_prices_changes_none_of_its_choices() -> None:
     """A price under a twentieth, and none: the same sends; a dear one: others."""
+
     def sends(**other: object) -> list[tuple[int, int, int]]:
         fleet = Fleet([{"relays": 4, "grouped": False, **other}] * 4)
         fleet.run(10 * SECOND, 20)
