--- /dev/null
+++ b/tests/policy_world.py
@@ -0,0 +1,376 @@
+"""A small fleet in virtual time, for tests of what relays do together.
+
+Relays are real balancers behind a host that turns what they want done into events. Backends and clients are
+the models of policy_models: clients come, stay, and come again when they were rejected or moved. One seeded
+generator draws everything, so a run is the same every time.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from policy_models import Attempt, Backend, Connection, Deployment, Rejection
+
+from cedarledge.choice import Balancer
+from cedarledge.terms import MS, SECOND, ListForm, LoadReport, Outcome, Standing
+
+START = 1000 * SECOND
+ATTEMPT_TIME = 20 * MS
+PROBE_TIME = 4 * MS
+# A backend that holds this many times what fills it turns newcomers away.
+MOST_HELD = 2.0
+REJOIN = (100 * MS, 900 * MS)
+LIST_CALL = 300 * MS
+
+
+@dataclass
+class Relay:
+    """A balancer and its host: turns what the balancer wants done into events of the world."""
+
+    world: World
+    relay_id: int
+    seed: int
+    alive: bool = True
+    pending: dict[int, Connection] = field(default_factory=dict)
+    opened: dict[int, Connection] = field(default_factory=dict)
+    requested_at: dict[int, int] = field(default_factory=dict)
+    attempted: set[int] = field(default_factory=set)
+    reported_at: dict[int, int] = field(default_factory=dict)
+    unseen_probed_at: int = -1
+
+    def __post_init__(self) -> None:
+        self.started = self.world.now
+        self.balancer = Balancer(
+            self, self.world.deployment.settings(self.relay_id, self.world.now, self.seed)
+        )
+        entries = [backend.listed() for backend in self.world.backends.values()]
+        self.balancer.list_changed(self.world.now, ListForm.RESTORED, entries)
+
+    # -- the host interface ------------------------------------------------------------------------
+
+    def send(self, tun: int, ep: int, timeout: int) -> None:
+        world, connection = self.world, self.pending[tun]
+        self.attempted.add(tun)
+        load = world.deployment.relative_load(connection.class_index)
+        world.attempts.append(Attempt(world.now, self.relay_id, ep, load))
+        took = min(ATTEMPT_TIME, timeout)
+        outcome = Outcome.TIMEOUT if timeout <= ATTEMPT_TIME else None
+        world.after(took, lambda: self._attempt_over(tun, ep, took, outcome))
+
+    def decline(self, tun: int, come_back: int) -> None:
+        self._reject(tun, come_back)
+
+    def close_with_error(self, tun: int) -> None:
+        self._reject(tun, 0)
+
+    def move(self, tun: int) -> None:
+        self.world.after(ATTEMPT_TIME, lambda: self._end(tun, Outcome.CANCELLED, comes_again=True))
+
+    def probe(self, ep: int) -> None:
+        if not self._is_fresh(ep) and not self.world.backends[ep].is_cold(self.world.now):
+            self.unseen_probed_at = self.world.now
+        self.world.after(PROBE_TIME, lambda: self._probed(ep))
+
+    def wake(self, delay: int, token: int) -> None:
+        self.world.after(delay, lambda: self.alive and self.balancer.woke(self.world.now, token))
+
+    def watch(self) -> None:
+        self.world.after(LIST_CALL, self._whole_list)
+
+    def log(self, text: str) -> None:
+        pass
+
+    # -- what happens ------------------------------------------------------------------------------
+
+    def request(self, connection: Connection, returning: bool = False) -> None:
+        world, deployment = self.world, self.world.deployment
+        connection_id = next(world.connection_ids)
+        self.pending[connection_id] = connection
+        self.requested_at[connection_id] = world.now
+        world.requests.append((world.now, self.relay_id))
+        self.balancer.tunnel_arrived(
+            world.now,
+            connection_id,
+            connection.class_index,
+            connection.tenant,
+            connection.key,
+            connection.group,
+            deployment.classes[connection.class_index].deadline,
+            None,
+            returning,
+        )
+
+    def adopt(self, connection: Connection, backend: Backend) -> None:
+        connection_id = next(self.world.connection_ids)
+        self.balancer.adopted(
+            self.world.now,
+            connection_id,
+            connection.class_index,
+            connection.tenant,
+            connection.key,
+            connection.group,
+            backend.backend_id,
+            None,
+        )
+        backend.take(connection)
+        self._is_open(connection_id, connection)
+
+    def backend_changed(self, backend: Backend) -> None:
+        if self.alive:
+            self.balancer.list_changed(self.world.now, ListForm.CHANGES, [backend.listed()])
+
+    def stop(self) -> None:
+        """The process ends; its clients come again at other relays."""
+        self.alive = False
+        for connection in self.opened.values():
+            connection.backend.release(connection)
+        for connection in (*self.opened.values(), *self.pending.values()):
+            self.world.comes_again(connection)
+        self.opened.clear()
+        self.pending.clear()
+
+    def backend_gone(self, backend: Backend) -> None:
+        for connection_id in [one for one, held in self.opened.items() if held.backend is backend]:
+            self._end(connection_id, Outcome.RESET, comes_again=True)
+
+    def _is_open(self, connection_id: int, connection: Connection) -> None:
+        world = self.world
+        self.opened[connection_id] = connection
+        world.after(300 * MS, lambda: self._tell_load(connection_id))
+        life = int(world.chance.expovariate(1 / world.deployment.lifetime))
+        world.after(life, lambda: self._end(connection_id, Outcome.DONE, comes_again=False))
+
+    def _tell_load(self, connection_id: int) -> None:
+        if self.alive and connection_id in self.opened:
+            self.balancer.load_told(self.world.now, connection_id, self.opened[connection_id].load)
+
+    def _attempt_over(self, connection_id: int, backend_id: int, took: int, outcome: Outcome | None) -> None:
+        if not self.alive:
+            return
+        now, backend = self.world.now, self.world.backends[backend_id]
+        if outcome is None and backend.state is Standing.GONE:
+            outcome = Outcome.CONNECT_FAILED
+        if (
+            outcome is None
+            and backend.connections >= MOST_HELD * self.world.deployment.connections_per_backend
+        ):
+            outcome = Outcome.FULL
+        if outcome is None:
+            connection = self.pending.pop(connection_id)
+            backend.take(connection)
+            self.balancer.opened(now, connection_id, took)
+            self._is_open(connection_id, connection)
+        else:
+            self.balancer.setup_ended(
+                now, connection_id, backend_id, False, outcome, took, self._inline_report(backend)
+            )
+
+    def _end(self, connection_id: int, outcome: Outcome, comes_again: bool) -> None:
+        connection = self.opened.pop(connection_id, None)
+        if connection is None:
+            return
+        backend = connection.backend
+        backend.release(connection)
+        self.balancer.setup_ended(
+            self.world.now,
+            connection_id,
+            backend.backend_id,
+            True,
+            outcome,
+            ATTEMPT_TIME,
+            self._inline_report(backend),
+        )
+        if comes_again:
+            self.world.comes_again(connection)
+
+    def _inline_report(self, backend: Backend) -> LoadReport | None:
+        if self.world.deployment.probes or backend.state is Standing.GONE:
+            return None
+        self.reported_at[backend.backend_id] = self.world.now
+        return backend.report(self.world.now)
+
+    def _probed(self, backend_id: int) -> None:
+        if not self.alive:
+            return
+        backend = self.world.backends[backend_id]
+        answered = backend.state is not Standing.GONE
+        if answered:
+            self.reported_at[backend_id] = self.world.now
+        self.balancer.probed(self.world.now, backend_id, answered, backend.report(self.world.now))
+
+    def _reject(self, connection_id: int, retry_after: int) -> None:
+        world, connection = self.world, self.pending.pop(connection_id)
+        warm = [
+            backend
+            for backend in world.backends.values()
+            if backend.state is Standing.READY and not backend.is_cold(world.now)
+        ]
+        fleet_load = sum(backend.utilization(world.now) for backend in warm) / max(1, len(warm))
+        world.rejections.append(
+            Rejection(
+                world.now,
+                self.relay_id,
+                load=world.deployment.relative_load(connection.class_index),
+                attempted=connection_id in self.attempted,
+                fresh_reports=sum(self._is_fresh(backend.backend_id) for backend in warm),
+                warm=len(warm),
+                fleet_load=fleet_load,
+                probed_unseen=self.unseen_probed_at >= self.requested_at[connection_id],
+            )
+        )
+        if connection.retries_left:
+            connection.retries_left -= 1
+            world.comes_again(connection, retry_after)
+
+    def _is_fresh(self, backend_id: int) -> bool:
+        return self.world.now - self.reported_at.get(backend_id, -math.inf) <= self.world.fresh_for
+
+    def _whole_list(self) -> None:
+        if self.alive:
+            entries = [
+                backend.listed()
+                for backend in self.world.backends.values()
+                if backend.state is not Standing.GONE
+            ]
+            self.balancer.list_changed(self.world.now, ListForm.WHOLE, entries)
+
+
+class World:
+    """The fleet, its clients, and everything that is due."""
+
+    def __init__(
+        self, deployment: Deployment, live_relays: int | None = None, fresh_for: int = 4 * SECOND
+    ) -> None:
+        self.deployment = deployment
+        self.fresh_for = fresh_for
+        self.now = START
+        self.chance = random.Random(deployment.seed)
+        self.connection_ids = itertools.count(1)
+        self.due: list[tuple[int, int, Callable[[], object]]] = []
+        self.order = itertools.count()
+        self.requests: list[tuple[int, int]] = []  # time, relay
+        self.attempts: list[Attempt] = []
+        self.rejections: list[Rejection] = []
+        self.backends: dict[int, Backend] = {}
+        self.relays: list[Relay] = []
+        for _ in range(deployment.backends):
+            self._add_backend(0)
+        count = deployment.relays if live_relays is None else live_relays
+        for relay_id in range(count):
+            self.relays.append(self._new_relay(relay_id))
+
+    # -- time --------------------------------------------------------------------------------------
+
+    def after(self, delay: int, act: Callable[[], object]) -> None:
+        heapq.heappush(self.due, (self.now + delay, next(self.order), act))
+
+    def run(self, span: int) -> None:
+        end = self.now + span
+        while self.due and self.due[0][0] <= end:
+            self.now, _, act = heapq.heappop(self.due)
+            act()
+        self.now = end
+
+    # -- backends and relays -----------------------------------------------------------------------
+
+    def _add_backend(self, started: int) -> Backend:
+        phase = self.chance.randrange(self.deployment.report_period)
+        backend = Backend(len(self.backends), self.deployment, started)
+        self.backends[backend.backend_id] = backend
+        backend.refresh(self.now - self.deployment.report_period)
+        self.after(phase, lambda: self._refresh(backend))
+        return backend
+
+    def _refresh(self, backend: Backend) -> None:
+        backend.refresh(self.now)
+        if backend.state is not Standing.GONE:
+            self.after(self.deployment.report_period, lambda: self._refresh(backend))
+
+    def _new_relay(self, relay_id: int) -> Relay:
+        return Relay(self, relay_id, seed=self.chance.randrange(1 << 32))
+
+    def start_backend(self) -> Backend:
+        """A cold backend joins, and the relays are told one after the other."""
+        backend = self._add_backend(self.now)
+        self._tell(backend)
+        return backend
+
+    def drain_backend(self, backend: Backend, within: int) -> None:
+        backend.state = Standing.DRAINING
+        self._tell(backend)
+        self.after(within, lambda: self._stop_backend(backend))
+
+    def _stop_backend(self, backend: Backend) -> None:
+        backend.state = Standing.GONE
+        for relay in self.relays:
+            relay.backend_gone(backend)
+        self._tell(backend)
+
+    def _tell(self, backend: Backend) -> None:
+        for relay in self.relays:
+            self.after(
+                self.chance.randrange(self.deployment.notice),
+                lambda relay=relay: relay.backend_changed(backend),
+            )
+
+    def restart_relay(self, relay_id: int, pause: int = 500 * MS) -> None:
+        self.relays[relay_id].stop()
+        self.after(pause, lambda: self._replace_relay(relay_id))
+
+    def _replace_relay(self, relay_id: int) -> None:
+        self.relays[relay_id] = self._new_relay(relay_id)
+
+    # -- clients -----------------------------------------------------------------------------------
+
+    def populate(self) -> None:
+        """The connections that stand at the start: each relay has its share, a group lies close together."""
+        connections = [self.new_connection() for _ in range(round(self.deployment.connections))]
+        connections.sort(key=lambda connection: connection.group or "")
+        turns = itertools.cycle(self.backends.values())
+        backend = next(turns)
+        for place, connection in enumerate(connections):
+            if not connection.group or backend.utilization(self.now) >= self.deployment.load:
+                backend = next(turns)
+            self.relays[place % len(self.relays)].adopt(connection, backend)
+        for backend in self.backends.values():
+            backend.refresh(self.now - self.deployment.report_delay)
+
+    def clients_come(self, rate: float) -> None:
+        """New clients come from now on, so many a second over all live relays."""
+        if rate > 0:
+            self.after(int(SECOND * self.chance.expovariate(rate)), lambda: self._arrival(rate))
+
+    def _arrival(self, rate: float) -> None:
+        self._enter(self.new_connection(), returning=False)
+        self.clients_come(rate)
+
+    def new_connection(self) -> Connection:
+        deployment, chance = self.deployment, self.chance
+        class_index = chance.randrange(len(deployment.classes))
+        # Uneven, with a mean of one over all classes.
+        load = deployment.relative_load(class_index) * chance.uniform(0.5, 1.5)
+        groups = math.ceil(deployment.connections / deployment.group_size) if deployment.group_size else 0
+        return Connection(
+            class_index,
+            load,
+            f"group {chance.randrange(groups)}" if groups else None,
+            chance.randrange(deployment.tenants) if deployment.tenants else None,
+            f"client {chance.randrange(1 << 30)}",
+            deployment.retries,
+        )
+
+    def _enter(self, connection: Connection, returning: bool) -> None:
+        alive = [relay for relay in self.relays if relay.alive]
+        if alive:
+            self.chance.choice(alive).request(connection, returning)
+        else:
+            self.comes_again(connection)
+
+    def comes_again(self, connection: Connection, no_sooner: int = 0) -> None:
+        wait = max(no_sooner, self.chance.randint(*REJOIN))
+        self.after(wait, lambda: self._enter(connection, returning=True))
