Groups keep one order past two zones; few reports shed little; idle cold budgets are used

Change: groups are kept in the relay's own zone in two zones at most (settings.dcs); moves go on up to the mean that backends are relieved to; what is shed is scaled by how far the reports are a sample; unknown kinds count by the mean capacity of the known; unseen backends count as full in the slow-start rate.

--- a/cedarledge/policy/cells.py
+++ b/cedarledge/policy/cells.py
@@ -7,6 +7,7 @@
 from cedarledge.policy.utilization import FULL_WITH_GROUPS
 
 MOST_CELLS = 6  # tried for a connection: work for one must not grow with the fleet
+MOST_GROUP_ZONES = 2  # that a group may lie in to spare crossings: each further one pays for it once more
 COSTLY_CROSSING = 0.05  # from this part of a connection's value on it costs more than an uneven load does
 UINT64 = 2**64 - 1
 
@@ -30,8 +31,10 @@
     if connection.ranked_revision == state.revision:
         return
     seed = digest_of(connection.group or connection.key or str(state.chance()))
-    # A group that lies in two locations is paid for in both, so not while this one is nearly full.
+    # A group that lies in two zones is paid for in both: not while this one is nearly full, nor in more.
     local_first = settings.crossing >= COSTLY_CROSSING and 0 <= state.local_load < FULL_WITH_GROUPS
+    if connection.group is not None and settings.zones > MOST_GROUP_ZONES:
+        local_first = False
     order = {cell: len(backends) / math.log(draw_of(seed, cell)) for cell, backends in cells.items()}
     ranked = sorted(
         cells, key=lambda cell: (local_first and cells[cell][0].zone != settings.zone, order[cell])
--- a/cedarledge/policy/placement.py
+++ b/cedarledge/policy/placement.py
@@ -51,9 +51,7 @@
 def _busy_limit(state: State, now: int, connection: Connection) -> float:
     fleet, group = utilization.fleet(state, now), connection.group
     if group is not None and fleet > utilization.FULL_WITH_GROUPS:
-        load = (
-            (state.groups[group] - 1) * state.ready * max(fleet, 0.0)
-        )  # as far as its connections here tell
+        load = (state.groups[group] - 1) * state.ready * max(fleet, 0.0)  # by its connections here
         if load <= LARGEST_GROUP * len(state.connections):
             return utilization.OVERLOADED
     return min(max(fleet, LEAST_BUSY_LIMIT), MOST_BUSY_LIMIT)
--- a/cedarledge/policy/probing.py
+++ b/cedarledge/policy/probing.py
@@ -36,7 +36,7 @@
     if now >= state.next_probe:
         state.next_probe = now + interval
         # The longest unprobed, which meets new backends soon, with a head start for those with clients here.
-        first = next(backend for backend in state.probe_order.values() if backend.state is BackendState.READY)
+        first = longest_unprobed(state)
         sooner = min(held, key=_turn, default=first)
         probe(state, now, sooner if HEAD_START * (now - sooner.probed_at) > now - first.probed_at else first)
     # Before their turn, but once an interval: in a storm that all relays feel more cost more than they tell.
@@ -47,6 +47,11 @@
         probe(state, now, min(doubtful, key=_turn))
 
 
+def longest_unprobed(state: State) -> Backend | None:
+    """The ready backend whose turn to be probed is next."""
+    return next((one for one in state.probe_order.values() if one.state is BackendState.READY), None)
+
+
 def _turn(backend: Backend) -> tuple[int, float]:
     return backend.probed_at, backend.tie_break
 
--- a/cedarledge/policy/rebalance.py
+++ b/cedarledge/policy/rebalance.py
@@ -39,7 +39,7 @@
         return
     if state.shed_fraction > 0.02 and fleet > utilization.FULL and not grouped:
         _shed(state, now)
-    if fleet > (utilization.FULL_WITH_GROUPS if grouped else ROOM):
+    if fleet > (shedding.TARGET_LOAD if grouped else ROOM):
         return
     ready = (backend for backend in state.holding.values() if backend.state is BackendState.READY)
     surplus, left = {backend: _surplus(state, now, backend) for backend in ready}, MOVES_PER_TICK
--- a/cedarledge/policy/shedding.py
+++ b/cedarledge/policy/shedding.py
@@ -22,7 +22,8 @@
     quota = quotas[tenant] if tenant is not None and tenant < len(quotas) else 0
     if quota and state.by_tenant[tenant] >= quota / state.settings.relays:
         place *= state.settings.over_share_credit
-    return place < state.shed_fraction
+    # What few or old reports say is no reason to reject what the rest of the fleet may have room for.
+    return place < state.shed_fraction * state.evidence
 
 
 def update(state: State, now: int, fleet: float) -> None:
--- a/cedarledge/policy/slow_start.py
+++ b/cedarledge/policy/slow_start.py
@@ -13,9 +13,13 @@
     """Follows the rate that fills a cold backend: what a warm one holds, over its load, in that time."""
     warm = [backend for cell in state.cells.values() for backend in cell if not backend.is_cold(now)]
     seen = [backend for backend in warm if 0 < backend.reported < CREDIBLE_LOAD]
-    if 2 * len(seen) > min(len(warm), 2 * ENOUGH_REPORTS):
+    load = sum(backend.reported for backend in seen)
+    if 2 * len(seen) <= min(len(warm), 2 * ENOUGH_REPORTS):
+        load += len(warm) - len(seen)  # with too few reports the others count as full: the careful side
+        seen = warm
+    if load:
         held = sum(backend.open - backend.pending for backend in seen)  # pending ones bring no load yet
-        rate = held / sum(backend.reported for backend in seen) / (state.settings.warm_within / SECOND)
+        rate = held / load / (state.settings.warm_within / SECOND)
         state.fill_rate = max(rate, state.fill_rate) if now < state.unrepresentative_until else rate
 
 
--- a/cedarledge/policy/state.py
+++ b/cedarledge/policy/state.py
@@ -92,6 +92,7 @@
         self.attempt_times, self.attempt_spread = DecayingRatio(20 * SECOND), DecayingSum(20 * SECOND)
         self.capacity: defaultdict[int, DecayingRatio] = defaultdict(lambda: DecayingRatio(40 * SECOND))
         self.fleet_load, self.local_load, self.fleet_load_until = -1.0, -1.0, 0  # below 0: unknown
+        self.evidence = 0.0  # how far the reports behind these are a sample of the fleet, up to 1
         self.failures, self.openings = DecayingSum(3 * SECOND), DecayingSum(3 * SECOND)
         self.in_flight, self.window = 0, math.inf  # attempts, and how many a shared failure bears
         self.shed_fraction, self.shed_order = 0.0, [(0.0, 1.0)] * len(settings.profiles)  # start, width
--- a/cedarledge/policy/utilization.py
+++ b/cedarledge/policy/utilization.py
@@ -2,7 +2,7 @@
 
 import math
 
-from cedarledge.policy import slow_start
+from cedarledge.policy import estimators, slow_start
 from cedarledge.policy.state import TICK, Backend, State
 from cedarledge.terms import MS, SECOND, LoadReport
 
@@ -13,6 +13,7 @@
 ECHO_HALF = 0.1  # own connections in a backend's share at which an own change counts half for other relays
 GUESS_CAP = 0.35  # how far a settling relay's guess may go past a report: it guesses capacities far too low
 REPORT_LIFETIME = 4 * SECOND  # how fast a report loses its say in the fleet's mean
+SAMPLE = 4  # so many fresh reports are a sample of the fleet
 MEAN_AGE = 4 * MS  # how long a mean is gone by, for each backend that it is made of
 
 
@@ -67,17 +68,24 @@
     if now < state.fleet_load_until:
         return state.fleet_load
     state.fleet_load_until = now + max(TICK, state.ready * MEAN_AGE)
+    usual = estimators.mean(list(state.capacity.values()), now) or 1.0
     load, size = [0.0, 0.0], [0.0, 0.0]  # elsewhere, and in this relay's zone
+    warm, seen = 0, 0.0
     for backend in (backend for cell in state.cells.values() for backend in cell):
-        if backend.reported < 0 or backend.is_ejected(now) or backend.is_cold(now):
+        if backend.is_ejected(now) or backend.is_cold(now):
             continue  # a cold one's idle cores can't be had at will: no reason to call others busy
+        warm += 1
+        if backend.reported < 0:
+            continue
         # By age: a relay that probes seldom would shed for half a minute by what a storm left in reports.
         recency = math.exp((backend.reported_at - now) / REPORT_LIFETIME)
-        share = recency * (capacity(state, now, backend) or 1.0)
+        seen += recency
+        share = recency * (capacity(state, now, backend) or usual)  # all in one unit
         is_local = backend.zone == state.settings.zone
         load[is_local] += min(cautious(state, now, backend), 3.0) * share
         size[is_local] += share
     state.fleet_load = (load[1] + load[0]) / (size[1] + size[0]) if size[1] + size[0] else -1.0
     state.local_load = load[1] / size[1] if size[1] else -1.0
+    state.evidence = min(max(2 * seen / min(warm, SAMPLE) - 1, 0.0), 1.0) if warm else 0.0
     slow_start.learn_rate(state, now)
     return state.fleet_load
--- a/cedarledge/settings.py
+++ b/cedarledge/settings.py
@@ -181,6 +181,7 @@
         quotas=tuple(float(quota or 0) for quota in domain.get("tenant_quota_connections") or ()),
         over_share_credit=1.0 if overage is None else float(overage),
         crossing=float((settings.get("prices") or {}).get("cross_zone") or 0),
+        zones=len(settings.get("dcs") or ()),
     )
 
 
--- a/cedarledge/terms.py
+++ b/cedarledge/terms.py
@@ -114,6 +114,7 @@
     quotas: tuple[float, ...]  # open connections within each tenant's share; 0: not told
     over_share_credit: float
     crossing: float = 0.0  # part of a tunnel's credit that a setup in another location costs
+    zones: int = 0  # in the deployment; 0: not told
 
     @property
     def tightest(self) -> int:
