--- /dev/null
+++ b/tests/test_terms_limits.py
@@ -0,0 +1,124 @@
+"""Limits: idle clients that hold the descriptors, relays that start at once, fleets past a thousand."""
+
+from __future__ import annotations
+
+import socket
+import threading
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import IO
+
+from helpers import Backend, Client, Program, until
+from test_control import call, free_address
+from test_crossings import PATIENT
+from test_terms_discovery import (
+    ASK_EVERY_US,
+    COUNTS_AFTER,
+    DRAIN_GRACE,
+    FaultyDiscovery,
+    close_unread,
+)
+
+SOCKETS = 160
+HELD_BY_IDLE = 60  # what the relay's own reserves leave of these for clients that ask for nothing
+
+
+class ProbedBackend(Backend):
+    """Counts the connections that bring a probe, and closes each behind its answer: the next takes a
+    descriptor of its own."""
+
+    def __init__(self, name: str) -> None:
+        self.probed = 0
+        super().__init__(name)
+
+    def talk(self, link: socket.socket, lines: IO[bytes]) -> None:
+        if lines.peek(1).startswith(b"STATS"):
+            lines.readline()
+            link.sendall(f"PONG {self.stats}\r\n".encode())
+            self.probed += 1
+            return
+        super().talk(link, lines)
+
+
+@contextmanager
+def idle_clients(relay: Program, count: int) -> Iterator[None]:
+    """So many connections that say nothing or no more than PING; who is turned out comes again."""
+    done = threading.Event()
+    links: list[socket.socket] = []
+
+    def come_again() -> None:
+        while not done.is_set():
+            while len(links) < count:
+                link = socket.socket()
+                link.setblocking(False)
+                link.connect_ex(relay.address)
+                links.append(link)
+            for link in links[::]:
+                if has_ended(link):
+                    links.remove(link)
+                    link.close()
+            done.wait(0.02)
+
+    thread = threading.Thread(target=come_again)
+    thread.start()
+    try:
+        yield
+    finally:
+        done.set()
+        thread.join()
+        for link in links:
+            link.close()
+
+
+def has_ended(link: socket.socket) -> bool:
+    try:
+        return not link.recv(1)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
+def open_at_once(relay: Program) -> Client:
+    """One that connected and asked for nothing for a while would be one of the idle."""
+    client = relay.client()
+    assert client.open(f"{time.monotonic_ns()}", "c=feed,d=6000") == "UP r", "an attempt has its descriptor"
+    return client
+
+
+def descriptors(relay: Program) -> int:
+    return len(list(Path(f"/proc/{relay.process.pid}/fd").iterdir()))
+
+
+def test_idle_clients_leave_descriptors_for_all_that_the_relay_opens_itself(tmp_path: Path) -> None:
+    """Discovery is down meanwhile, and is heard as it returns. Seen to fail with OWN_FILES and CONTROL_FILES
+    at 0, and with ROOM and LAST_ROOM at 0."""
+    control = free_address()
+    backends = [ProbedBackend("a"), ProbedBackend("b")]
+    discovery = FaultyDiscovery([backend.entry() for backend in backends])
+    settings = PATIENT | {"safety": PATIENT["safety"] | {"ask_every": ASK_EVERY_US}}
+    limits = {"cores": 1.0, "memory_mb": 96, "sockets": SOCKETS}
+    with Program(
+        tmp_path, backends, settings=settings, discovery=discovery.address, limits=limits, control=control
+    ) as relay:
+        until(lambda: discovery.calls)
+        discovery.break_by(close_unread)
+        with idle_clients(relay, 2 * SOCKETS):
+            until(lambda: descriptors(relay) > HELD_BY_IDLE)
+            for _ in range(4):
+                failed, probed = discovery.faulted, sum(backend.probed for backend in backends)
+                open_at_once(relay)
+                assert call(control, "GET", "/control/ready") == 200, "the operators' call has its own"
+                until(lambda probed=probed: sum(backend.probed for backend in backends) > probed)
+                until(lambda failed=failed: discovery.faulted > failed)
+            drained = backends[0]
+            discovery.members = [drained.entry("draining"), backends[1].entry()]
+            discovery.tell(drained.entry("draining"))
+            discovery.repair()
+            time.sleep(COUNTS_AFTER + DRAIN_GRACE)
+            placed = len(drained.heads)
+            stay = [open_at_once(relay) for _ in range(12)]
+            assert len(drained.heads) == placed and len(stay) == 12, "nothing new on a draining backend"
+        assert "Too many open files" not in relay.log.read_text()
