The judge counts relays that turn all away; each unanswered request is counted

Operators count processes that turn away all that they get (15 calls or more for 4 s with no attempt) and requests with no answer. The first had no count: Verdict.idle_relays, a figure and no rule, as a fault that leaves no backend has all turn all away.

--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -44,6 +44,8 @@
 WAY_SLACK = SECOND
 # How long a relay whose way to discovery was broken may take to notice, and to ask anew.
 ASKS_AGAIN = 25 * SECOND
+# A process that turns away all that it gets, this many or more, for so long with no setup in between is idle.
+IDLE_CALLS, IDLE_FOR = 15, 4 * SECOND
 # Words of a call that had no answer of a relay's.
 NO_ANSWER = frozenset(("CLOSED", "GAVE_UP", "UNREACHED", ""))
 RULES = (
@@ -105,6 +107,7 @@
     setups_per_tunnel: float
     placement_ms: dict[str, float]
     moves: int
+    idle_relays: int  # that turned away all that they got for some seconds
     relay_cpu_s: float
     relay_peak_mb: float
     peers: dict[str, Any]  # empty where relays did not know each other
@@ -218,6 +221,7 @@
             sum(len(self.setups[tun]) for tun in served) / max(1, len(served)),
             {"p50": quantile(placed, 0.5), "p99": quantile(placed, 0.99), "p999": quantile(placed, 0.999)},
             sum(call.how == "MOVE" for call in calls),
+            sum(self._idle_since(relay, calls) >= 0 for relay in range(plan.relays)),
             sum(life.cpu_ns for life in lives) / SECOND,
             max((life.peak_kb for life in lives), default=0) / 1024,
             peers_figures(plan, self.kinds) if plan.peers else {},
@@ -421,6 +425,18 @@
             if life.how == "crashed":
                 self._found("crashed", life.ended, f"relay {life.relay}: exit code {life.code}")
 
+    def _idle_since(self, relay: int, calls: list[Call]) -> int:
+        """When the relay began to turn away all that it gets for long enough; below 0: never."""
+        attempts = (setup for setups in self.setups.values() for setup in setups if setup.relay == relay)
+        events = [(attempt.whole, False) for attempt in attempts]
+        events += [(call.answered, call.word == "BUSY") for call in calls if call.relay == relay]
+        rejected: list[int] = []
+        for at, turned_away in sorted(events):
+            rejected = [*rejected, at] if turned_away else []
+            if len(rejected) >= IDLE_CALLS and at - rejected[0] >= IDLE_FOR:
+                return rejected[0]
+        return -1
+
     # -- figures -----------------------------------------------------------------------------------
 
     def _service(self) -> tuple[dict[str, list[tuple[int, float, float]]], dict[str, float], float, float]:
