No cap below 1,024: the rig has addresses for 2,000 relays, and a relay is tried at 1,100

The rig's loopback addresses held 64 relays (a network of its own for each relay's backends), and cli.py said so twice. Addresses are now numbered through: 2,000 of each fit. Bounds in the test: 3 s, 64 MB. Seen to fail with the list cut to 1,000 in BoxList.take_in, the addresses on the code before.

--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -24,6 +24,7 @@
 from cedarledge.operator.tables import BadFileError
 from cedarledge.peers.staff import peers
 from cedarledge.rig.variants import BASELINES
+from cedarledge.standins.plan import MOST_BOXES, MOST_RELAYS
 
 BROKEN, UNUSABLE, LATE = 1, 2, 3
 
@@ -77,8 +78,8 @@
 
 def _sizes(command: Callable[..., None]) -> Callable[..., None]:
     for option in (
-        click.option("--relays", type=click.IntRange(1, 64), help="In place of the scenario's."),
-        click.option("--boxes", type=click.IntRange(1, 2000), help="In place of the scenario's."),
+        click.option("--relays", type=click.IntRange(1, MOST_RELAYS), help="In place of the scenario's."),
+        click.option("--boxes", type=click.IntRange(1, MOST_BOXES), help="In place of the scenario's."),
         click.option("--rate", type=click.FloatRange(0.1), help="Newcomers a second."),
         click.option("--seconds", type=click.FloatRange(4, 3600), help="Length of the run."),
     ):
--- a/cedarledge/standins/plan.py
+++ b/cedarledge/standins/plan.py
@@ -10,11 +10,13 @@
 import msgspec
 
 # Where the stand-ins listen. Every box has an address for each relay, so that what a relay does, and whether
-# it is cut off from a box, can be told without trusting what it says: 127.20.0.0/16 for the first relay's
-# boxes, 127.21.0.0/16 for the second's. Relays and discovery have one address each.
+# it is cut off from a box, can be told without trusting what it says: from 127.20.0.0 on those of the first
+# relay's boxes, behind them the second's. Relays and discovery have one address each.
 LIST = -1  # in a box's place: discovery
-BOX_NET, WAY_NET, RELAY_NET, DISCOVERY_NET = 20, 100, 8, 9
-MOST_RELAYS, MOST_BOXES = 64, 2000
+RELAY_NET, DISCOVERY_NET, PEER_NET, PEER_LANE_NET, DISCOVERY_WAY_NET = 8, 9, 10, 11, 13
+BOX_NET, WAY_NET = 20, 100
+MOST_RELAYS, MOST_BOXES = 2000, 2000
+HOSTS_PER_NET = 1 << 16
 # A box that comes back elsewhere under its old id listens this many ports further on.
 OTHER_PORT = 1
 # The id of a tunnel that no usual client sent begins so: a box that sees one was sent what no client may
@@ -156,30 +158,36 @@
     book: str  # path of its book
 
 
+def _loopback(net: int, number: int) -> str:
+    """The address with this number in 127.NET.0.0/16 and the networks behind it."""
+    over, rest = divmod(number, HOSTS_PER_NET)
+    return f"127.{net + over}.{rest >> 8}.{rest & 255}"
+
+
 def box_address(box: int, relay: int) -> str:
-    return f"127.{BOX_NET + relay}.{box // 200}.{box % 200 + 1}"
+    return _loopback(BOX_NET, relay * MOST_BOXES + box)
 
 
 def relay_address(relay: int) -> str:
-    return f"127.{RELAY_NET}.0.{relay + 1}"
+    return _loopback(RELAY_NET, relay + 1)
 
 
 def peer_address(relay: int) -> str:
     """Where a relay's peers' socket is; the lane before it is what the others are told."""
-    return f"127.10.0.{relay + 1}"
+    return _loopback(PEER_NET, relay + 1)
 
 
 def peer_lane_address(relay: int) -> str:
-    return f"127.11.0.{relay + 1}"
+    return _loopback(PEER_LANE_NET, relay + 1)
 
 
 def box_way_address(box: int, relay: int) -> str:
     """Where a relay on the ways is told that the box is."""
-    return f"127.{WAY_NET + relay}.{box // 200}.{box % 200 + 1}"
+    return _loopback(WAY_NET, relay * MOST_BOXES + box)
 
 
 def discovery_way_address(relay: int) -> str:
-    return f"127.13.0.{relay + 1}"
+    return _loopback(DISCOVERY_WAY_NET, relay + 1)
 
 
 def asker_address() -> str:
@@ -187,4 +195,4 @@
 
 
 def discovery_address(relay: int) -> str:
-    return f"127.{DISCOVERY_NET}.0.{relay + 1}"
+    return _loopback(DISCOVERY_NET, relay + 1)
--- /dev/null
+++ b/tests/test_terms_fleet_size.py
@@ -0,0 +1,79 @@
+"""No cap below 1,024 on relays or backends: fleets of 1,100 of each, their memory and start time."""
+
+from __future__ import annotations
+
+from ipaddress import IPv4Address
+from pathlib import Path
+
+from helpers import SETTINGS, Backend, Program, until
+from test_terms_limits import descriptors
+from test_terms_start import processor_seconds
+
+from cedarledge.standins.plan import (
+    MOST_BOXES,
+    MOST_RELAYS,
+    box_address,
+    box_way_address,
+    discovery_address,
+    discovery_way_address,
+    peer_address,
+    peer_lane_address,
+    relay_address,
+)
+
+RELAYS = BACKENDS = 1100
+MEMORY_MB, START_PROCESSOR_S = 64, 3.0
+SOCKETS = 512
+CLIENTS = 100
+
+
+def peak_memory_mb(relay: Program) -> float:
+    status = Path(f"/proc/{relay.process.pid}/status").read_text()
+    return int(status.partition("VmHWM:")[2].split()[0]) / 1024
+
+
+def entries_of(backends: list[Backend]) -> list[dict]:
+    """1,100 names that a few processes stand for; the last has the last process for itself."""
+    *shared, own = backends
+    entries = [
+        shared[number % len(shared)].entry() | {"id": f"backend-{number}", "cell": number % 50}
+        for number in range(BACKENDS - 1)
+    ]
+    return [*entries, own.entry() | {"id": f"backend-{BACKENDS - 1}"}]
+
+
+def test_a_relay_among_1100_before_1100_backends_starts_and_serves(tmp_path: Path) -> None:
+    """Seen to fail with the list cut to 1,000 entries in BoxList.take_in."""
+    backends = [Backend(f"process {number}") for number in range(4)]
+    entries = entries_of(backends)
+    told = {
+        "settings": SETTINGS | {"group_size": RELAYS, "me": RELAYS - 1},
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": SOCKETS},
+        "known": {"revision": 7, "complete": True, "members": entries},
+    }
+    with Program(tmp_path, backends, **told) as relay:
+        assert f"{BACKENDS} backends known" in relay.log.read_text()
+        assert processor_seconds(relay) < START_PROCESSOR_S
+        clients = [relay.client() for _ in range(CLIENTS)]
+        assert {client.open(f"key-{number}") for number, client in enumerate(clients)} == {"UP r"}
+        until(lambda: relay.discovery.calls)
+        relay.discovery.tell(*(entry | {"phase": "draining"} for entry in entries[:-1]))
+        until(lambda: len(relay.discovery.calls) >= 2)
+        placed = sum(len(backend.heads) for backend in backends[:-1])
+        for number in range(4):
+            assert relay.client().open(f"late-{number}") in ("UP r", "BUSY"), "one cold backend is left"
+        assert sum(len(backend.heads) for backend in backends[:-1]) == placed, "1,099 are draining"
+        assert peak_memory_mb(relay) < MEMORY_MB
+        assert descriptors(relay) < SOCKETS
+
+
+def test_the_rig_has_an_address_for_each_of_1100_relays_at_each_of_1100_backends() -> None:
+    """It had addresses for 64 relays."""
+    assert min(MOST_RELAYS, MOST_BOXES) >= RELAYS
+    edges = [0, 1, 63, 64, 199, 200, 1023, 1024, RELAYS - 1, MOST_RELAYS - 1]
+    of_pairs = (box_address, box_way_address)
+    of_relays = (relay_address, peer_address, peer_lane_address, discovery_address, discovery_way_address)
+    addresses = [address(box, relay) for address in of_pairs for box in edges for relay in edges]
+    addresses += [address(relay) for address in of_relays for relay in edges]
+    assert len(set(addresses)) == len(addresses), "each has its own"
+    assert all(IPv4Address(address).is_loopback for address in addresses)
