--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -24,6 +24,7 @@
 from cedarledge.operator.tables import BadFileError
 from cedarledge.peers.staff import peers
 from cedarledge.rig.variants import BASELINES
+from cedarledge.scale.command import scale
 
 BROKEN, UNUSABLE, LATE = 1, 2, 3
 
@@ -88,6 +89,7 @@
 
 main.add_command(model)
 main.add_command(peers)
+main.add_command(scale)
 
 
 @main.group()
--- /dev/null
+++ b/cedarledge/scale/fit.py
@@ -0,0 +1,121 @@
+"""Least-squares lines and power laws through samples of several sizes, with bootstrap intervals.
+
+The bootstrap draws from a generator with a fixed seed, so the same samples always give the same fit.
+"""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+import msgspec
+import numpy as np
+
+# A curve counts as a line if the line through all smaller sizes foretells the largest one within this.
+LINE_TOLERANCE = 0.15
+BOOTSTRAP_ROUNDS, BOOTSTRAP_SEED = 400, 7
+INTERVAL = (2.5, 97.5)
+SIGNIFICANT_DIGITS = 6
+# Values at or below zero have no logarithm.
+SMALLEST_LOGGED = 1e-12
+# A slope or intercept that adds less than this part of the values is an error of floating-point numbers.
+NEGLIGIBLE = 1e-9
+
+
+class Fit(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """value = slope x size + intercept where `is_line`, else value = coefficient x size ** exponent."""
+
+    slope: float
+    slope_low: float
+    slope_high: float
+    intercept: float
+    coefficient: float
+    exponent: float
+    exponent_low: float
+    exponent_high: float
+    holdout_error: float
+    is_line: bool
+
+    def value_at(self, size: float) -> float:
+        """The figure at a size, by the form that the samples support."""
+        if self.is_line:
+            return self.slope * size + self.intercept
+        return self.coefficient * size**self.exponent
+
+    def formula(self) -> str:
+        """The fitted function as text."""
+        if self.is_line:
+            return f"{self.slope:.3g} x size {'-' if self.intercept < 0 else '+'} {abs(self.intercept):.3g}"
+        return f"no line: {self.coefficient:.3g} x size^{self.exponent:.2f}"
+
+
+class _Line(NamedTuple):
+    slope: float
+    intercept: float
+
+
+def _least_squares(sizes: np.ndarray, values: np.ndarray) -> _Line:
+    slope, intercept = np.polyfit(sizes, values, 1)
+    least = NEGLIGIBLE * float(np.abs(values).max())
+    return _Line(
+        float(slope) if abs(slope) * float(np.abs(sizes).max()) > least else 0.0,
+        float(intercept) if abs(intercept) > least else 0.0,
+    )
+
+
+def _power_law(sizes: np.ndarray, values: np.ndarray) -> _Line:
+    """Exponent and logarithm of the coefficient."""
+    return _least_squares(np.log(sizes), np.log(np.maximum(values, SMALLEST_LOGGED)))
+
+
+def _holdout_error(sizes: np.ndarray, values: np.ndarray) -> float:
+    """Relative error at the largest size of the line through all smaller ones."""
+    smaller = sizes < sizes.max()
+    if len(set(sizes[smaller])) < 2:
+        return 0.0
+    line = _least_squares(sizes[smaller], values[smaller])
+    measured = float(values[~smaller].mean())
+    foretold = line.slope * sizes.max() + line.intercept
+    return abs(foretold - measured) / max(abs(measured), SMALLEST_LOGGED)
+
+
+def _bootstrap(sizes: np.ndarray, values: np.ndarray) -> tuple[list[float], list[float]]:
+    """Intervals of the slope and of the exponent."""
+    generator = np.random.default_rng(BOOTSTRAP_SEED)
+    slopes, exponents = [], []
+    for _ in range(BOOTSTRAP_ROUNDS):
+        chosen = generator.integers(0, len(sizes), len(sizes))
+        if len(set(sizes[chosen])) < 3:
+            continue
+        slopes.append(_least_squares(sizes[chosen], values[chosen]).slope)
+        exponents.append(_power_law(sizes[chosen], values[chosen]).slope)
+    return [float(np.percentile(slopes, part)) for part in INTERVAL], [
+        float(np.percentile(exponents, part)) for part in INTERVAL
+    ]
+
+
+def rounded(value: float) -> float:
+    """To as many digits as are kept in files."""
+    return float(f"{value:.{SIGNIFICANT_DIGITS}g}")
+
+
+def fit(points: list[tuple[float, float]]) -> Fit:
+    """Fits (size, value) points. Raises ValueError for fewer than three different sizes."""
+    sizes = np.array([size for size, _ in points], dtype=float)
+    values = np.array([value for _, value in points], dtype=float)
+    if len(set(sizes)) < 3:
+        raise ValueError(f"a fit needs three sizes or more, got {sorted(set(sizes))}")
+    line, power = _least_squares(sizes, values), _power_law(sizes, values)
+    (slope_low, slope_high), (exponent_low, exponent_high) = _bootstrap(sizes, values)
+    error = _holdout_error(sizes, values)
+    return Fit(
+        slope=rounded(line.slope),
+        slope_low=rounded(slope_low),
+        slope_high=rounded(slope_high),
+        intercept=rounded(line.intercept),
+        coefficient=rounded(float(np.exp(power.intercept))),
+        exponent=rounded(power.slope),
+        exponent_low=rounded(exponent_low),
+        exponent_high=rounded(exponent_high),
+        holdout_error=rounded(error),
+        is_line=bool(error <= LINE_TOLERANCE),
+    )
--- /dev/null
+++ b/cedarledge/scale/policy_host.py
@@ -0,0 +1,63 @@
+"""The relay's policy without clients or sockets: a host that counts probes and list calls."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from cedarledge.choice import Balancer
+from cedarledge.scale.relay_settings import RELAY_SETTINGS
+from cedarledge.terms import MS, Listed, ListForm, LoadReport, Standing
+from cedarledge.words import Indices, site_facts
+
+PROBE_ANSWERED_AFTER = 2 * MS
+REPORTED_LOAD = 0.4
+# The tokens of answers to probes are told from the policy's own by their size.
+PROBE_TOKEN = 1 << 40
+
+
+class PolicyHost:
+    """Runs one Balancer and answers each of its probes with the same report. `wake` is the caller's."""
+
+    def __init__(
+        self, now: int, seed: int, relays: int, backends: int, wake: Callable[[int, int], None]
+    ) -> None:
+        self.now = now
+        self.wake = wake
+        self.probes = self.list_calls = 0
+        # As on sockets, where clients' lines tell of hangs alone: see net/relay.py.
+        facts = site_facts(RELAY_SETTINGS, seed, now, Indices(["here"]))._replace(
+            delays_told=False, relays=relays, me=0
+        )
+        self.balancer = Balancer(self, facts)
+        self.balancer.list_changed(now, ListForm.RESTORED, [_entry(number) for number in range(backends)])
+
+    def woke(self, now: int, token: int) -> None:
+        self.now = now
+        if token < PROBE_TOKEN:
+            self.balancer.woke(now, token)
+            return
+        report = LoadReport(busy_share=REPORTED_LOAD, asked=REPORTED_LOAD, service_time=4 * MS)
+        self.balancer.probed(now, token - PROBE_TOKEN, True, report)
+
+    # -- what the policy calls ----------------------------------------------------------------------
+
+    def probe(self, ep: int) -> None:
+        self.probes += 1
+        self.wake(PROBE_ANSWERED_AFTER, PROBE_TOKEN + ep)
+
+    def watch(self) -> None:
+        # The first call makes a watch, which goes on by itself.
+        self.list_calls += 1
+
+    def log(self, text: str) -> None:
+        """Counters of placements, of which there are none."""
+
+    def send(self, *_: Any) -> None:
+        raise AssertionError("nothing is placed without clients")
+
+    decline = close_with_error = move = send
+
+
+def _entry(number: int) -> Listed:
+    return Listed(number, number // 6, 0, 0, 1.0, Standing.READY, 0, number)
