Scale: hollow relays on loopback, beside real ones, and today's relay under clients

Change: hollow relays run the real membership machine, shell and policy, many to a process; 'compare' sets them beside relay processes with counted datagrams; 'relay' measures memory a connection, processor time a delivered line and an open request of one relay process.

--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -13,11 +13,14 @@
 
 import msgspec
 
-from cedarledge.scale import membership, probing, quorum
+from cedarledge.scale import comparison, hollow, membership, probing, quorum, relay_load
 from cedarledge.scale.scenario import (
+    ComparePart,
+    HollowPart,
     MembershipPart,
     ProbingPart,
     QuorumPart,
+    RelayPart,
     ScaleScenario,
     ViewPart,
 )
@@ -35,8 +38,22 @@
     "messages_per_second": "messages/s",
     "false_suspicions_per_minute": "a member a minute",
     "undecided": "decisions",
+    "memory_bytes": "bytes",
+    "process_base_bytes": "bytes",
+    "resident_bytes": "bytes",
+    "processor_ms_per_open": "ms of a core",
+    "opens_per_second": "a second",
+    "latency_p50_ms": "ms",
+    "latency_p99_ms": "ms",
+    "latency_max_ms": "ms",
+    "lost": "connections",
+    "false_deaths": "views",
 }
-SECONDS_PREFIXES = ("change_known", "death_seen", "backend_seen")
+# Hollow relays to a process where they are compared with real ones.
+HOLLOW_A_PROCESS = 8
+# Where times until a change is known are not what is measured.
+CHANGE_AWAITED = 1.0
+SECONDS_PREFIXES = ("whole_view_after", "change_known", "death_seen", "backend_seen")
 
 
 class Played(NamedTuple):
@@ -223,9 +240,95 @@
         yield runner.record(f"probing_{name}", name, began, played, notes)
 
 
+def _settle_seconds(part: HollowPart, size: int) -> float:
+    return part.settle_s + part.settle_s_per_member * size
+
+
+def _hollow(runner: Runner, part: HollowPart) -> Iterator[MeasurementRun]:
+    began = time.monotonic()
+    calls = [
+        (
+            size,
+            partial(
+                hollow.measure,
+                size,
+                part.processes,
+                part.backends,
+                _settle_seconds(part, size),
+                part.calm_s,
+                part.change_s,
+            ),
+        )
+        for size in part.sizes
+        for _ in range(part.repeats)
+    ]
+    notes = (
+        f"UDP on loopback, {part.processes} processes at most, records change all the time; "
+        f"{part.backends} backends, probes counted and not sent. Times until a change is known end at "
+        f"{part.change_s:g} s; whole_view_after is -1 where not all views were whole in time."
+    )
+    yield runner.record("hollow", "relays", began, runner.play("hollow", calls, 1), notes)
+
+
+def _compare(runner: Runner, part: ComparePart) -> Iterator[MeasurementRun]:
+    """Real and hollow in turn, so that what else the machine does falls on both."""
+    began = time.monotonic()
+    real: list[Played] = []
+    light: list[Played] = []
+    for size in part.sizes:
+        for _ in range(part.repeats):
+            spans = part.backends, part.settle_s, part.calm_s
+            real += runner.play("real", [(size, partial(comparison.measure, size, *spans))], 1)
+            processes = max(1, size // HOLLOW_A_PROCESS)
+            light += runner.play(
+                "hollow", [(size, partial(hollow.measure, size, processes, *spans, CHANGE_AWAITED))], 1
+            )
+    notes = f"Without clients, {part.backends} backends; real and hollow relays in turn."
+    yield runner.record("compare_real", "relays", began, real, notes)
+    yield runner.record("compare_hollow", "relays", began, light, notes)
+
+
+def _relay(runner: Runner, part: RelayPart) -> Iterator[MeasurementRun]:
+    if part.connections:
+        began = time.monotonic()
+        calls = [
+            (count, partial(relay_load.measure_rest, count, part.backends, part.settle_s, part.calm_s))
+            for count in part.connections
+            for _ in range(part.repeats)
+        ]
+        notes = f"One relay process, {part.backends} backends; memory of the process, without the kernel's."
+        played = runner.play("relay_rest", calls, 1)
+        yield runner.record("relay_rest", "connections", began, played, notes)
+    if part.deliveries:
+        began = time.monotonic()
+        count, size = part.connections_for_deliveries, part.line_bytes
+        calls = [
+            (
+                rate,
+                partial(
+                    relay_load.measure_deliveries,
+                    rate,
+                    count,
+                    part.backends,
+                    size,
+                    part.settle_s,
+                    part.calm_s,
+                ),
+            )
+            for rate in part.deliveries
+            for _ in range(part.repeats)
+        ]
+        notes = f"One relay process, {count} connections, lines of {size} bytes from backend to client."
+        played = runner.play("relay_deliveries", calls, 1)
+        yield runner.record("relay_deliveries", "deliveries/s", began, played, notes)
+
+
 PARTS: dict[str, Callable[[Runner, Any], Iterator[MeasurementRun]]] = {
     "view": _view,
     "quorum": _quorum,
     "probing": _probing,
+    "relay": _relay,
+    "compare": _compare,
+    "hollow": _hollow,
     "membership": _membership,
 }
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -142,3 +142,15 @@
         check=True,
     )
     assert seen.stdout.strip() == "[]"
+
+
+def test_the_small_run_on_sockets_measures_hollow_relays_and_a_real_one(tmp_path: Path) -> None:
+    path = tmp_path / "runs.json"
+    done = CliRunner().invoke(main, ["scale", "run", "sockets", "--json", str(path)])
+    assert done.exit_code == 0, done.output
+    runs = {run.name: run for run in msgspec.json.decode(path.read_bytes(), type=list[MeasurementRun])}
+    assert set(runs) == {"relay_rest", "relay_deliveries", "hollow"}
+    assert runs["hollow"].curve("messages_per_second").mean_at(3) > 0
+    assert runs["hollow"].curve("process_base_bytes").mean_at(3) > 1e6
+    assert runs["relay_rest"].curve("resident_bytes").mean_at(20) > 1e6
+    assert runs["relay_deliveries"].curve("delivered_share").mean_at(50) == 1.0
