Scale: the capacity tables, computed from slopes, and 'scale check' against the page

Change: the target's figures as constants, the control budget in parts, the year's events and candidates are computed from docs/scale/slopes; 'cedarledge scale check' names each row of docs/CAPACITY.md that differs. Views, the voting register and probing are run; rows of what is not run yet say so.

--- /dev/null
+++ b/cedarledge/scale/candidates.py
@@ -0,0 +1,69 @@
+"""The mechanisms that may be built next, each with the figure that asks for it."""
+
+from __future__ import annotations
+
+from cedarledge.peers.machine import MOST_MEMBERS
+from cedarledge.scale import assumptions, target
+from cedarledge.scale.figures import Slopes, arithmetic
+from cedarledge.scale.mechanisms import MEMBERSHIP_FILES, MISSING
+from cedarledge.scale.own_load import own_load
+from cedarledge.scale.page import Table
+
+
+def candidates_table(slopes: Slopes) -> Table:
+    """A row for each mechanism that was weighed."""
+    load = own_load(slopes)
+    relays = target.RELAYS
+    in_force = slopes.at("hollow", "change_known_all", relays).times(1 / target.CONFIG_IN_FORCE_SECONDS)
+    payload = slopes.at("hollow", "bytes_per_second", relays)
+    allowed = target.CONTROL_BYTES_PER_SECOND * assumptions.BUDGET_SHARES["membership"] / 100
+    whole_table = target.SHARDS * assumptions.SHARD_ROW_BYTES / target.CONTROL_BYTES_PER_SECOND
+    probing = slopes.at("probing_backends", "backend_seen_every", assumptions.BACKENDS)
+    returned = target.RELAYS_PER_ZONE * target.CONNECTIONS_PER_RELAY / (relays - target.RELAYS_PER_ZONE)
+    rows = (
+        (
+            "numbered configuration in force within 4 s",
+            MISSING,
+            "s until all hold a record of membership, the nearest carrier, over 4 s",
+            in_force,
+        ),
+        (
+            "bounded views in place of full exchange",
+            MEMBERSHIP_FILES,
+            "bytes/s over membership's part",
+            payload.times(1 / allowed),
+        ),
+        (
+            "bounded views: members over the bound",
+            MEMBERSHIP_FILES,
+            "at the most connections run",
+            load.members.times(1 / MOST_MEMBERS),
+        ),
+        (
+            "assignment of 64,000 shards",
+            MISSING,
+            "s of all control bytes for one whole table",
+            arithmetic(whole_table),
+        ),
+        (
+            "fan-out of the largest topic",
+            MISSING,
+            "lines from backends, over one a relay",
+            arithmetic(target.LARGEST_TOPIC_LISTENERS / relays),
+        ),
+        ("subsets of backends", MISSING, "s between looks of a relay at each of 1,000", probing),
+        (
+            "paced return after a zone",
+            MISSING,
+            "core seconds a relay for what returns",
+            load.open_ms.times(returned / 1000),
+        ),
+    )
+    return Table(
+        "candidates",
+        ("mechanism", "carried by", "measure", "figure", "basis"),
+        tuple(
+            (name, carried, measure, figure.text(), figure.origin())
+            for name, carried, measure, figure in rows
+        ),
+    )
--- a/cedarledge/scale/counted_relay.py
+++ b/cedarledge/scale/counted_relay.py
@@ -43,6 +43,7 @@
 
 
 def main() -> int:
+    """Runs the relay with counters in place, and gives its exit code."""
     fleet.Shell = _WritingShell  # type: ignore[misc]
     fleet.Peers = CountingPeers  # type: ignore[misc]
     return start(sys.argv[1])
--- a/cedarledge/scale/hollow_worker.py
+++ b/cedarledge/scale/hollow_worker.py
@@ -82,6 +82,7 @@
         self.knows_change = False
 
     def wake(self, delay: int, token: int) -> None:
+        """Wakes this relay's policy."""
         self.worker.deadlines.after(delay, self._woke, token)
 
     def _woke(self, token: int) -> None:
@@ -98,10 +99,12 @@
         } | changing_load()
 
     def has_whole_view(self) -> bool:
+        """Whether it holds all others alive."""
         alive = sum(member.state is State.ALIVE for member in self.machine.members.values())
         return alive == len(self.worker.spec.addresses) - 1
 
     def has_heard(self, name: str) -> bool:
+        """Whether it knows of the change that relay made."""
         member = self.machine.members.get(name)
         return member is not None and member.told.get("state", (0, ""))[1] == CHANGED_STATE
 
@@ -119,6 +122,7 @@
         self._probes_before = 0
 
     def run(self) -> None:
+        """Plays all by the times of the spec, and returns at its end."""
         for place in range(self.spec.first, self.spec.first + self.spec.count):
             delay = START_OVER * place // len(self.spec.addresses)
             self._at(self.spec.begin + delay, partial(self._start, place))
@@ -187,6 +191,7 @@
 
 
 def main() -> None:
+    """Plays the spec that the command line names."""
     logger.remove()
     spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=WorkerSpec)
     Worker(spec).run()
--- /dev/null
+++ b/cedarledge/scale/mechanisms.py
@@ -0,0 +1,9 @@
+"""Which files carry which mechanism, as the tables of the capacity page name them."""
+
+from __future__ import annotations
+
+MISSING = "**missing**"
+
+MEMBERSHIP_FILES = "`peers/machine.py`, `peers/shell.py`"
+PROBE_FILES = "`choice.py`, `net/backends.py`, `net/discovery.py`"
+VOTE_FILES = "`failover/votes.py`, `failover/plans.py`; from there to relays " + MISSING
--- /dev/null
+++ b/cedarledge/scale/page.py
@@ -0,0 +1,89 @@
+"""Tables between markers in a page: written, and compared with what was computed.
+
+<!-- scale: NAME -->
+| head | ...
+<!-- end scale -->
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+
+import msgspec
+
+from cedarledge.scale.figures import Figure
+
+BLOCK = re.compile(r"<!-- scale: (?P<name>[a-z-]+) -->\n(?P<text>.*?)<!-- end scale -->", re.DOTALL)
+
+
+class Table(msgspec.Struct, frozen=True):
+    """A table of the page; the first cell of a row names it."""
+
+    name: str
+    head: tuple[str, ...]
+    rows: tuple[tuple[str, ...], ...]
+
+    def text(self) -> str:
+        """The table in Markdown."""
+        rule = tuple("---" for _ in self.head)
+        return "".join(_line(cells) + "\n" for cells in (self.head, rule, *self.rows))
+
+
+def figure_rows(rows: Sequence[tuple[str, Figure]]) -> tuple[tuple[str, ...], ...]:
+    """A row for each figure: its name, its value, where it comes from."""
+    return tuple((name, figure.text(), figure.origin()) for name, figure in rows)
+
+
+def _line(cells: Sequence[str]) -> str:
+    return "| " + " | ".join(cells) + " |"
+
+
+def rewritten(page: str, tables: Sequence[Table]) -> str:
+    """The page with its tables as computed."""
+    by_name = {table.name: table for table in tables}
+
+    def replace(match: re.Match[str]) -> str:
+        table = by_name.get(match["name"])
+        if table is None:
+            return match[0]
+        return f"<!-- scale: {table.name} -->\n{table.text()}<!-- end scale -->"
+
+    return BLOCK.sub(replace, page)
+
+
+def differences(page: str, tables: Sequence[Table]) -> list[str]:
+    """A line for each row that is not as computed, and for tables that only one side has."""
+    shown = {match["name"]: match["text"].splitlines() for match in BLOCK.finditer(page)}
+    found = [f"{name}: the page has a table that is not computed" for name in shown.keys() - _names(tables)]
+    for table in tables:
+        if table.name not in shown:
+            found.append(f"{table.name}: the page lacks this table")
+        else:
+            found += _row_differences(table, shown[table.name])
+    return found
+
+
+def _names(tables: Sequence[Table]) -> set[str]:
+    return {table.name for table in tables}
+
+
+def _row_differences(table: Table, shown: list[str]) -> list[str]:
+    expected = table.text().splitlines()
+    found = []
+    by_key = {_key(line): line for line in shown}
+    for line in expected:
+        if by_key.get(_key(line)) != line:
+            on_page = by_key.get(_key(line), "no such row")
+            found.append(f"{table.name}, row {_key(line)!r}: computed {line}, on the page {on_page}")
+    known = {_key(line) for line in expected}
+    found += [
+        f"{table.name}, row {_key(line)!r}: on the page alone" for line in shown if _key(line) not in known
+    ]
+    if not found and shown != expected:
+        found.append(f"{table.name}: rows are in another order, or there twice")
+    return found
+
+
+def _key(line: str) -> str:
+    return line.split("|")[1].strip() if line.count("|") > 1 else line
--- a/cedarledge/scale/policy_host.py
+++ b/cedarledge/scale/policy_host.py
@@ -33,6 +33,7 @@
         self.balancer.list_changed(now, ListForm.RESTORED, [_entry(number) for number in range(backends)])
 
     def woke(self, now: int, token: int) -> None:
+        """The policy's timer, or the answer to one of its probes."""
         self.now = now
         if token < PROBE_TOKEN:
             self.balancer.woke(now, token)
--- a/cedarledge/scale/relay_load.py
+++ b/cedarledge/scale/relay_load.py
@@ -51,6 +51,7 @@
         self.clients: Clients
 
     async def start(self) -> None:
+        """Starts all of them and waits for the relay."""
         await self.backends.start()
         await self.discovery.start()
         address = free_tcp_address()
@@ -65,6 +66,7 @@
             raise RelayError(f"{len(self.clients.open)} of {connections} connections could be opened")
 
     def stop(self) -> None:
+        """Ends the relay and its clients."""
         self.clients.close()
         self.relay.stop()
 
--- a/cedarledge/scale/relay_process.py
+++ b/cedarledge/scale/relay_process.py
@@ -46,10 +46,12 @@
 
     @property
     def pid(self) -> int:
+        """Of the running process."""
         assert self.process is not None
         return self.process.pid
 
     def start(self, arguments: Sequence[str] = ("-m", "cedarledge"), **environment: str) -> None:
+        """Starts the process; `arguments` are those of the interpreter."""
         config = self.folder / f"{self.name}.json"
         config.write_text(json.dumps(self.config))
         log = (self.folder / f"{self.name}.log").open("ab")
@@ -72,11 +74,13 @@
         raise RelayError(f"relay {self.name} did not start: {log}")
 
     def stop(self) -> None:
+        """Kills the process."""
         if self.process is not None:
             self.process.kill()
             self.process.wait()
 
 
 def free_tcp_address() -> str:
+    """One on loopback that nobody listens at."""
     with socket.create_server(("127.0.0.1", 0)) as link:
         return "{}:{}".format(*link.getsockname())
--- /dev/null
+++ b/cedarledge/scale/roles.py
@@ -0,0 +1,59 @@
+"""What each role of the fleet holds, says and spends."""
+
+from __future__ import annotations
+
+from cedarledge.scale import assumptions, target
+from cedarledge.scale.control_budget import COMPARED, MEGABYTE, config_peak, membership_part
+from cedarledge.scale.figures import Slopes, arithmetic
+from cedarledge.scale.mechanisms import MEMBERSHIP_FILES, MISSING, PROBE_FILES, VOTE_FILES
+from cedarledge.scale.own_load import own_load
+from cedarledge.scale.page import Table
+
+
+def roles_table(slopes: Slopes) -> Table:
+    """A row for each thing that a role holds, says or spends."""
+    load = own_load(slopes)
+    relays = target.RELAYS
+    probes = slopes.at("probing_relays", "probes_per_backend_second", relays)
+    calls = slopes.at("compare_real", "list_calls_per_second", COMPARED).times(relays)
+    changes = target.CONFIG_CHANGES_PER_DAY * relays / target.SECONDS_A_DAY
+    peak = config_peak() * relays / target.CONTROL_MACHINES
+    leases = relays * assumptions.LEASE_RENEWALS_PER_SECOND / target.CONTROL_MACHINES
+    rows = (
+        ("relay: connections, MB", "`net/clients.py`, `net/tunnels.py`", load.memory.times(1 / MEGABYTE)),
+        ("relay: deliveries, cores", "`net/tunnels.py`", load.delivery_cores),
+        ("relay: view of the members, MB", MEMBERSHIP_FILES, membership_part(slopes).memory_mb),
+        (
+            "relay: membership, messages/s sent",
+            MEMBERSHIP_FILES,
+            slopes.at("hollow", "messages_per_second", relays),
+        ),
+        ("backend: probes/s from 460 relays, of 100 backends", PROBE_FILES, probes),
+        (
+            "backend: seconds between probes of one relay, of 1,000 backends",
+            PROBE_FILES,
+            slopes.at("probing_backends", "backend_seen_every", assumptions.BACKENDS),
+        ),
+        ("discovery: calls/s from 460 relays", "`net/discovery.py`", calls),
+        ("control machine: relays told of a change, a second", MISSING, arithmetic(changes)),
+        ("control machine: bytes/s while a change goes out in 4 s", MISSING, arithmetic(peak)),
+        ("control machine: lease renewals/s", MISSING, arithmetic(leases)),
+        ("control machine: bytes a decision of 5 voters", VOTE_FILES, slopes.at("quorum", "bytes", 5)),
+        (
+            "rig: 460 hollow relays, cores",
+            "`scale/hollow.py`",
+            slopes.at("hollow", "processor_ms_per_second", relays).times(relays / 1000),
+        ),
+        (
+            "rig: 460 hollow relays, MB over six processes",
+            "`scale/hollow.py`",
+            slopes.at("hollow", "memory_bytes", relays)
+            .times(relays / MEGABYTE)
+            .plus(slopes.at("hollow", "process_base_bytes", relays).times(6 / MEGABYTE)),
+        ),
+    )
+    return Table(
+        "roles",
+        ("role", "carried by", "figure", "basis"),
+        tuple((name, carried, figure.text(), figure.origin()) for name, carried, figure in rows),
+    )
--- /dev/null
+++ b/cedarledge/scale/run_tables.py
@@ -0,0 +1,117 @@
+"""Tables of the measurement runs: how each was made, what was fitted, and hollow beside real relays."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+
+from cedarledge.scale.figures import NOT_RUN, Slopes, number
+from cedarledge.scale.page import Table
+from cedarledge.scale.slopes import Curve, MeasurementRun
+
+# The curves that figures are taken from; the page shows the fit of each.
+SHOWN_CURVES = (
+    ("membership", "bytes_per_second"),
+    ("membership", "messages_per_second"),
+    ("membership", "processor_ms_per_second"),
+    ("membership", "change_known_first"),
+    ("membership", "change_known_half"),
+    ("membership", "change_known_99"),
+    ("membership", "change_known_all"),
+    ("membership", "death_seen_first"),
+    ("membership", "death_seen_all"),
+    ("view", "bytes"),
+    ("hollow", "bytes_per_second"),
+    ("hollow", "messages_per_second"),
+    ("hollow", "processor_ms_per_second"),
+    ("hollow", "memory_bytes"),
+    ("hollow", "whole_view_after"),
+    ("hollow", "change_known_half"),
+    ("hollow", "change_known_99"),
+    ("hollow", "change_known_all"),
+    ("probing_relays", "probes_per_backend_second"),
+    ("probing_relays", "processor_ms_per_second"),
+    ("probing_backends", "backend_seen_every"),
+    ("probing_backends", "processor_ms_per_second"),
+    ("relay_rest", "resident_bytes"),
+    ("relay_rest", "processor_ms_per_second"),
+    ("relay_rest", "processor_ms_per_open"),
+    ("relay_deliveries", "processor_ms_per_second"),
+    ("relay_deliveries", "latency_p99_ms"),
+    ("quorum", "messages"),
+    ("quorum", "bytes"),
+    ("quorum", "milliseconds"),
+)
+
+
+def runs_table(runs: Mapping[str, MeasurementRun]) -> Table:
+    """Command, commit and sizes of each run."""
+    return Table(
+        "runs",
+        ("run", "command", "commit", "sizes played", "wall time, s"),
+        tuple(
+            (name, f"`{run.command}`", f"`{run.commit}`", _sizes(run), number(run.wall_seconds))
+            for name, run in sorted(runs.items())
+        ),
+    )
+
+
+def _sizes(run: MeasurementRun) -> str:
+    sizes = [row.size for row in run.curves[0].samples]
+    return f"{run.size_of}: " + ", ".join(f"{size:g}" for size in sizes)
+
+
+def curves_table(slopes: Slopes) -> Table:
+    """The fit of each curve that figures are taken from."""
+    rows = []
+    for run, quantity in SHOWN_CURVES:
+        curve = slopes.curve(run, quantity)
+        rows.append((f"{run}.{quantity}", *(_curve_cells(curve) if curve else (NOT_RUN, "", "", "", ""))))
+    return Table(
+        "curves", ("curve", "unit", "fit", "95% interval", "exponent", "largest size run"), tuple(rows)
+    )
+
+
+def _curve_cells(curve: Curve) -> tuple[str, ...]:
+    fit, largest = curve.fit, number(curve.largest_size())
+    if fit is None:
+        return curve.unit, "too few sizes for a fit", "", "", largest
+    if not curve.spans_enough():
+        return curve.unit, "no fit: fewer than 5 sizes or a factor below 30", "", "", largest
+    low, high = (fit.slope_low, fit.slope_high) if fit.is_line else (fit.exponent_low, fit.exponent_high)
+    of = "slope" if fit.is_line else "exponent"
+    return curve.unit, fit.formula(), f"{of} {number(low)} to {number(high)}", f"{fit.exponent:.2f}", largest
+
+
+def comparison_table(slopes: Slopes) -> Table:
+    """Real and hollow relays side by side, at each size that both were run at."""
+    quantities = (
+        "messages_per_second",
+        "bytes_per_second",
+        "processor_ms_per_second",
+        "probes_per_relay_second",
+        "memory_bytes",
+    )
+    rows = []
+    for quantity in quantities:
+        real, hollow = slopes.curve("compare_real", quantity), slopes.curve("compare_hollow", quantity)
+        if real is None or hollow is None:
+            rows.append((quantity, NOT_RUN, "", ""))
+            continue
+        for sample in real.samples:
+            light = next((row.values for row in hollow.samples if row.size == sample.size), ())
+            rows.append((f"{quantity}, {sample.size:g} relays", *_side_by_side(sample.values, light)))
+    return Table("comparison", ("quantity", "real", "hollow", "hollow / real"), tuple(rows))
+
+
+def _side_by_side(real: tuple[float, ...], hollow: tuple[float, ...]) -> tuple[str, str, str]:
+    if not real or not hollow:
+        return _span(real), _span(hollow), ""
+    ratio = (sum(hollow) / len(hollow)) / max(sum(real) / len(real), 1e-12)
+    return _span(real), _span(hollow), number(ratio)
+
+
+def _span(values: tuple[float, ...]) -> str:
+    """The mean, and the smallest and largest of few values."""
+    if not values:
+        return NOT_RUN
+    return f"{number(sum(values) / len(values))} ({number(min(values))} to {number(max(values))})"
--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -74,6 +74,7 @@
 
 
 def unit_of(quantity: str) -> str:
+    """By the name of a quantity."""
     if quantity.startswith(SECONDS_PREFIXES):
         return "s"
     return UNITS.get(quantity, "a second" if quantity.endswith("second") else "")
@@ -127,6 +128,7 @@
     def record(
         self, name: str, size_of: str, began: float, played: Iterable[Played], notes: str = ""
     ) -> MeasurementRun:
+        """What was played as a run with its curves."""
         return MeasurementRun(
             name,
             self.command,
--- a/cedarledge/scale/slopes.py
+++ b/cedarledge/scale/slopes.py
@@ -33,6 +33,7 @@
     fit: Fit | None
 
     def largest_size(self) -> float:
+        """The largest size that was really run."""
         return max(row.size for row in self.samples)
 
     def spans_enough(self) -> bool:
--- a/cedarledge/scale/traffic.py
+++ b/cedarledge/scale/traffic.py
@@ -39,6 +39,7 @@
             self.line_received(line)
 
     def line_received(self, line: bytes) -> None:
+        """One whole line, without its end."""
         raise NotImplementedError
 
 
@@ -50,6 +51,7 @@
         self.backends = backends
 
     def line_received(self, line: bytes) -> None:
+        """One whole line, without its end."""
         if line == b"STATS":
             self.backends.probes += 1
             self.transport.write(f"PONG {BACKEND_REPORT}\r\n".encode())
@@ -73,6 +75,7 @@
         self.addresses: list[str] = []
 
     async def start(self) -> None:
+        """Listens on loopback."""
         loop = asyncio.get_running_loop()
         for _ in range(self.count):
             server = await loop.create_server(lambda: BackendConnection(self), HOST, 0)
@@ -119,6 +122,7 @@
         self.discovery = discovery
 
     def line_received(self, line: bytes) -> None:
+        """One whole line, without its end."""
         if not line.startswith(b"GET"):
             return
         self.discovery.calls += 1
@@ -147,6 +151,7 @@
         self.address = ""
 
     async def start(self) -> None:
+        """Listens on loopback."""
         loop = asyncio.get_running_loop()
         server = await loop.create_server(lambda: DiscoveryConnection(self), HOST, 0)
         self.address = "{}:{}".format(*server.sockets[0].getsockname())
@@ -166,6 +171,7 @@
         transport.write(f"OPEN {number:016x} key-{number % 997} c=feed,d=3000,g=g1\r\n".encode())
 
     def line_received(self, line: bytes) -> None:
+        """One whole line, without its end."""
         if self.opened.done():
             self.clients.delivered(line)
         else:
@@ -190,6 +196,7 @@
         self.latency = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
 
     def delivered(self, line: bytes) -> None:
+        """A line came to an open connection; its time stamp tells when it was sent."""
         if line.startswith(b"D "):
             self.received += 1
             took = time.monotonic_ns() - int(line.split(b" ", 2)[1])
@@ -227,6 +234,7 @@
         return good
 
     def close(self) -> None:
+        """Resets all connections."""
         for connection in list(self.open):
             self.open.discard(connection)
             connection.transport.abort()
--- /dev/null
+++ b/cedarledge/scale/yearly_events.py
@@ -0,0 +1,65 @@
+"""The events of an ordinary year, and what each costs."""
+
+from __future__ import annotations
+
+from cedarledge.scale import assumptions, target
+from cedarledge.scale.figures import Basis, Figure, Slopes, arithmetic
+from cedarledge.scale.own_load import own_load
+from cedarledge.scale.page import Table, figure_rows
+
+
+def year_table(slopes: Slopes) -> Table:
+    """A row for each figure of an event."""
+    load, one = own_load(slopes), target.CONNECTIONS_PER_RELAY
+    zone = target.RELAYS_PER_ZONE
+    returned = zone * one / (target.RELAYS - zone)
+    seen = slopes.at("membership", "death_seen_all", target.RELAYS)
+    reopening = load.open_ms.times(returned / 1000 / assumptions.REOPEN_CORE_SHARE)
+    moved_daily = (target.RESTARTS_PER_DAY + target.MACHINE_FAILURES_PER_DAY) / target.RELAYS
+    rows = (
+        ("machine fails: connections that come back elsewhere", arithmetic(one)),
+        ("machine fails: to each other relay", arithmetic(one / (target.RELAYS - 1))),
+        ("machine fails: s until all relays hold it dead", seen),
+        ("machine fails: share of the fleet's relays that notice", arithmetic(1.0)),
+        ("machine fails: shards that get another owner", arithmetic(target.SHARDS_PER_RELAY)),
+        ("failures and restarts: share of connections moved a day", arithmetic(moved_daily)),
+        ("failures and restarts: s between two", arithmetic(target.SECONDS_A_DAY / 80)),
+        (
+            "rack or switch: connections that come back, 20 relays",
+            arithmetic(assumptions.RELAYS_PER_RACK * one),
+        ),
+        ("zone: connections that come back", arithmetic(zone * one)),
+        ("zone: to each relay that is left", arithmetic(returned)),
+        ("zone: s to open them at half a core a relay", reopening),
+        ("zone: opens/s a relay meanwhile", _rate(returned, reopening)),
+        ("zone: opens/s a relay within 60 s, paced", arithmetic(returned / 60)),
+        ("region cut off: relays that hold the others dead", arithmetic(target.RELAYS / target.REGIONS)),
+        ("region cut off: s until they are forgotten", arithmetic(600)),
+        ("region back: bytes of one full exchange", _full_exchange()),
+        (
+            "region back: s of the control bytes that one takes",
+            _full_exchange().times(1 / target.CONTROL_BYTES_PER_SECOND),
+        ),
+        (
+            "600 changes a day: s until 99 in 100 know a membership record",
+            slopes.at("hollow", "change_known_99", target.RELAYS),
+        ),
+        ("600 changes a day: s until all know it", slopes.at("hollow", "change_known_all", target.RELAYS)),
+        ("one bad change a day: relays that follow it before anyone can refuse", arithmetic(target.RELAYS)),
+    )
+    return Table(
+        "year",
+        ("event", "figure", "basis"),
+        figure_rows(rows),
+    )
+
+
+def _rate(count: float, seconds: Figure) -> Figure:
+    if seconds.missing or not seconds.value:
+        return Figure(0.0, Basis.NONE)
+    return seconds._replace(value=count / seconds.value)
+
+
+def _full_exchange() -> Figure:
+    """All records of the fleet, once."""
+    return arithmetic(target.RELAYS * assumptions.RECORD_BYTES)
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -12,6 +12,9 @@
 
 from cedarledge.cli import main
 from cedarledge.operator.tables import BadFileError
+from cedarledge.scale.assumptions import BUDGET_SHARES
+from cedarledge.scale.capacity import tables
+from cedarledge.scale.figures import Slopes
 from cedarledge.scale.fit import fit
 from cedarledge.scale.scenario import load_scale_scenario, shipped_scenarios
 from cedarledge.scale.slopes import MeasurementRun, SlopesError, curve_of, read_run, write_run
@@ -154,3 +157,71 @@
     assert runs["hollow"].curve("process_base_bytes").mean_at(3) > 1e6
     assert runs["relay_rest"].curve("resident_bytes").mean_at(20) > 1e6
     assert runs["relay_deliveries"].curve("delivered_share").mean_at(50) == 1.0
+
+
+FOLDER = Path(__file__).parents[1] / "docs" / "scale" / "slopes"
+CAPACITY_PAGE = Path(__file__).parents[1] / "docs" / "CAPACITY.md"
+
+
+def check(page: Path, folder: Path = FOLDER):
+    return CliRunner().invoke(main, ["scale", "check", "--page", str(page), "--folder", str(folder)])
+
+
+def test_the_capacity_page_agrees_with_the_committed_slopes() -> None:
+    done = check(CAPACITY_PAGE)
+    assert done.exit_code == 0, done.output
+
+
+def test_a_figure_that_was_changed_on_the_page_is_caught_and_its_row_named(tmp_path: Path) -> None:
+    page = tmp_path / "page.md"
+    page.write_text(
+        CAPACITY_PAGE.read_text().replace(
+            "| connections a relay | 93,500 |", "| connections a relay | 93,600 |"
+        )
+    )
+    done = check(page)
+    assert done.exit_code == 1
+    assert "target, row 'connections a relay'" in done.output
+    assert len(done.output.splitlines()) == 1
+
+
+def test_a_row_that_is_missing_or_added_on_the_page_is_caught(tmp_path: Path) -> None:
+    page = tmp_path / "page.md"
+    text = CAPACITY_PAGE.read_text()
+    row = next(line for line in text.splitlines() if line.startswith("| shards a relay |"))
+    page.write_text(text.replace(row, "| made up | 1 | arithmetic |"))
+    done = check(page)
+    assert done.exit_code == 1
+    assert "target, row 'shards a relay'" in done.output
+    assert "target, row 'made up': on the page alone" in done.output
+
+
+def test_slopes_that_have_changed_since_the_page_was_written_are_caught(tmp_path: Path) -> None:
+    for path in FOLDER.glob("*.json"):
+        (tmp_path / path.name).write_bytes(path.read_bytes())
+    run = read_run(tmp_path / "view.json")
+    curve = run.curve("bytes")
+    measured = {row.size: [1.2 * value for value in row.values] for row in curve.samples}
+    write_run(msgspec.structs.replace(run, curves=(curve_of("bytes", "bytes", measured),)), tmp_path)
+    done = check(CAPACITY_PAGE, tmp_path)
+    assert done.exit_code == 1
+    assert "row 'view.bytes'" in done.output
+    assert "control-memory, row 'membership'" in done.output
+
+
+def test_parts_of_the_control_budget_make_up_the_whole_of_it() -> None:
+    assert sum(BUDGET_SHARES.values()) == 100
+
+
+def test_what_was_not_run_is_said_to_be_so() -> None:
+    rows = {row[0]: row for table in tables({}) if table.name == "control-bytes" for row in table.rows}
+    assert rows["membership"][2] == "not run"
+    assert rows["all"][2] == "not run"
+    assert rows["shard and topic assignment"][1] == "**missing**"
+
+
+def test_a_figure_beyond_the_largest_size_run_says_how_far() -> None:
+    run = run_of(curve_of("bytes", "bytes", {size: [100.0 * size] for size in (8, 16, 64, 128, 256)}))
+    figure = Slopes({"made": run}).at("made", "bytes", 512)
+    assert figure.value == pytest.approx(51_200)
+    assert figure.origin() == "slope: made.bytes, run to 256, reach x 2"
