Scale: membership under loss, and what a relay with clients probes

Change: the tables take the pace of probes with clients as arithmetic; loss.toml plays membership with a tenth of all datagrams lost.

--- a/cedarledge/scale/assumptions.py
+++ b/cedarledge/scale/assumptions.py
@@ -20,6 +20,9 @@
 SHARD_ROW_BYTES, SHARD_ENTRY_BYTES = 24, 200
 # A lease of one relay for all its shards: how often it is renewed, and the two messages of that.
 LEASE_RENEWALS_PER_SECOND, LEASE_BYTES = 0.5, 200
+# A relay with connections at many backends probes one of them a second: PROBE_EVERY of choice.py. Without any
+# it is PROBE_SELDOM, which is what the runs have.
+PROBES_WITH_CLIENTS_PER_SECOND = 1.0
 # One probe with its answer, and one call of the list that brings nothing new.
 PROBE_BYTES, LIST_CALL_BYTES = 60, 200
 # What a relay exports: series, bytes of each, and how often.
--- a/cedarledge/scale/candidates.py
+++ b/cedarledge/scale/candidates.py
@@ -18,7 +18,7 @@
     payload = slopes.at("hollow", "bytes_per_second", relays)
     allowed = target.CONTROL_BYTES_PER_SECOND * assumptions.BUDGET_SHARES["membership"] / 100
     whole_table = target.SHARDS * assumptions.SHARD_ROW_BYTES / target.CONTROL_BYTES_PER_SECOND
-    probing = slopes.at("probing_backends", "backend_seen_every", assumptions.BACKENDS)
+    probing = arithmetic(assumptions.BACKENDS / assumptions.PROBES_WITH_CLIENTS_PER_SECOND)
     returned = target.RELAYS_PER_ZONE * target.CONNECTIONS_PER_RELAY / (relays - target.RELAYS_PER_ZONE)
     rows = (
         (
--- a/cedarledge/scale/control_budget.py
+++ b/cedarledge/scale/control_budget.py
@@ -71,7 +71,7 @@
     real = slopes.at("compare_real", "processor_ms_per_second", COMPARED)
     hollow = slopes.at("compare_hollow", "processor_ms_per_second", COMPARED)
     over = real.plus(hollow)._replace(value=max(0.0, real.value - hollow.value))
-    probes = slopes.at("compare_real", "probes_per_relay_second", COMPARED).times(assumptions.PROBE_BYTES)
+    probes = arithmetic(assumptions.PROBES_WITH_CLIENTS_PER_SECOND * assumptions.PROBE_BYTES)
     calls = slopes.at("compare_real", "list_calls_per_second", COMPARED).times(assumptions.LIST_CALL_BYTES)
     table = arithmetic(assumptions.BACKENDS * assumptions.SHARD_ENTRY_BYTES / MEGABYTE)
     return Part("health and probes", PROBE_FILES, _percent(over), table, probes.plus(calls))
--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -181,12 +181,12 @@
         for turn in range(1 if size > part.most_samples_over else part.seeds)
     ]
     notes = (
-        "Virtual time, 1 ms a way, records change all the time as connections come and go. Times until a "
-        f"change is known end at {membership.CHANGE_AWAITED / 1e9:g} s, until a death is at "
+        f"Virtual time, 1 ms a way, {part.loss:.0%} lost, records change all the time as connections "
+        f"come and go. Times until a change is known end at {membership.CHANGE_AWAITED / 1e9:g} s, until a death is at "
         f"{membership.DEATH_AWAITED / 1e9:g} s. Processor time has the model's own in it."
     )
-    played = runner.play("membership", calls, runner.jobs)
-    yield runner.record("membership", "members", began, played, notes)
+    name = f"membership_loss_{part.loss * 100:.0f}" if part.loss else "membership"
+    yield runner.record(name, "members", began, runner.play(name, calls, runner.jobs), notes)
 
 
 class ViewSample(msgspec.Struct, frozen=True):
--- a/cedarledge/scale/yearly_events.py
+++ b/cedarledge/scale/yearly_events.py
@@ -45,6 +45,11 @@
             slopes.at("hollow", "change_known_99", target.RELAYS),
         ),
         ("600 changes a day: s until all know it", slopes.at("hollow", "change_known_all", target.RELAYS)),
+        (
+            "600 changes a day: s until all know it, a tenth of datagrams lost",
+            slopes.at("membership_loss_10", "change_known_all", target.RELAYS),
+        ),
+        ("all relays back within a second: s until all views are whole", _joined(slopes)),
         ("one bad change a day: relays that follow it before anyone can refuse", arithmetic(target.RELAYS)),
     )
     return Table(
@@ -54,6 +59,10 @@
     )
 
 
+def _joined(slopes: Slopes) -> Figure:
+    return slopes.at("hollow", "whole_view_after", target.RELAYS)
+
+
 def _rate(count: float, seconds: Figure) -> Figure:
     if seconds.missing or not seconds.value:
         return Figure(0.0, Basis.NONE)
