--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -182,8 +182,8 @@
     ]
     notes = (
         f"Virtual time, 1 ms a way, {part.loss:.0%} lost, records change all the time as connections "
-        f"come and go. Times until a change is known end at {membership.CHANGE_AWAITED / 1e9:g} s, until a death is at "
-        f"{membership.DEATH_AWAITED / 1e9:g} s. Processor time has the model's own in it."
+        f"come and go. Times until a change is known end at {membership.CHANGE_AWAITED / 1e9:g} s, "
+        f"until a death is at {membership.DEATH_AWAITED / 1e9:g} s. Processor time has the model's own in it."
     )
     name = f"membership_loss_{part.loss * 100:.0f}" if part.loss else "membership"
     yield runner.record(name, "members", began, runner.play(name, calls, runner.jobs), notes)
