--- a/cedarledge/scale/fit.py
+++ b/cedarledge/scale/fit.py
@@ -10,8 +10,9 @@
 import msgspec
 import numpy as np
 
-# A curve counts as a line if the line through all smaller sizes foretells the largest one within this.
-LINE_TOLERANCE = 0.15
+# A curve counts as a line if the line through all smaller sizes foretells the largest one within the first,
+# and no size is farther from the line through all than the second; both relative to what was measured.
+HOLDOUT_TOLERANCE, RESIDUAL_TOLERANCE = 0.15, 0.5
 BOOTSTRAP_ROUNDS, BOOTSTRAP_SEED = 400, 7
 INTERVAL = (2.5, 97.5)
 SIGNIFICANT_DIGITS = 6
@@ -33,6 +34,7 @@
     exponent_low: float
     exponent_high: float
     holdout_error: float
+    worst_residual: float
     is_line: bool
 
     def value_at(self, size: float) -> float:
@@ -78,6 +80,16 @@
     return abs(foretold - measured) / max(abs(measured), SMALLEST_LOGGED)
 
 
+def _worst_residual(sizes: np.ndarray, values: np.ndarray, line: _Line) -> float:
+    """The largest relative distance of a size's mean from the line."""
+    errors = []
+    for size in set(sizes):
+        measured = float(values[sizes == size].mean())
+        on_line = line.slope * size + line.intercept
+        errors.append(abs(on_line - measured) / max(abs(measured), abs(on_line), SMALLEST_LOGGED))
+    return max(errors)
+
+
 def _bootstrap(sizes: np.ndarray, values: np.ndarray) -> tuple[list[float], list[float]]:
     """Intervals of the slope and of the exponent."""
     generator = np.random.default_rng(BOOTSTRAP_SEED)
@@ -106,7 +118,7 @@
         raise ValueError(f"a fit needs three sizes or more, got {sorted(set(sizes))}")
     line, power = _least_squares(sizes, values), _power_law(sizes, values)
     (slope_low, slope_high), (exponent_low, exponent_high) = _bootstrap(sizes, values)
-    error = _holdout_error(sizes, values)
+    error, residual = _holdout_error(sizes, values), _worst_residual(sizes, values, line)
     return Fit(
         slope=rounded(line.slope),
         slope_low=rounded(slope_low),
@@ -117,5 +129,6 @@
         exponent_low=rounded(exponent_low),
         exponent_high=rounded(exponent_high),
         holdout_error=rounded(error),
-        is_line=bool(error <= LINE_TOLERANCE),
+        worst_residual=rounded(residual),
+        is_line=bool(error <= HOLDOUT_TOLERANCE and residual <= RESIDUAL_TOLERANCE),
     )
