Scale: how late the load generator itself was, beside the latency of deliveries

Cause: at 4,000 and 8,000 lines a second p99 was 2.2 s and 0.8 s with the relay at a quarter of a core; the generator shares its loop between sending and reading, and the machine was busy. Result: not run yet.

--- a/cedarledge/scale/relay_load.py
+++ b/cedarledge/scale/relay_load.py
@@ -31,13 +31,18 @@
 
 
 class DeliverySample(msgspec.Struct, frozen=True):
-    """A relay that passes on so many lines a second from backends to clients."""
+    """A relay that passes on so many lines a second from backends to clients.
+
+    `generator_late_ms` is the longest that the process which sends and reads lines stood still: latencies up
+    to that are its own.
+    """
 
     processor_ms_per_second: float
     delivered_share: float
     latency_p50_ms: float
     latency_p99_ms: float
     latency_max_ms: float
+    generator_late_ms: float
 
 
 class Stage:
@@ -138,6 +143,7 @@
             latency.get_value_at_percentile(50) / 1000,
             latency.get_value_at_percentile(99) / 1000,
             latency.get_max_value() / 1000,
+            stage.backends.longest_pause * 1000,
         )
     finally:
         stage.stop()
--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -46,6 +46,7 @@
     "latency_p50_ms": "ms",
     "latency_p99_ms": "ms",
     "latency_max_ms": "ms",
+    "generator_late_ms": "ms",
     "lost": "connections",
     "false_deaths": "views",
 }
--- a/cedarledge/scale/traffic.py
+++ b/cedarledge/scale/traffic.py
@@ -73,6 +73,7 @@
         self.open: dict[BackendConnection, None] = {}
         self.probes = 0
         self.addresses: list[str] = []
+        self.longest_pause = 0.0  # of the loop that pushes, seconds
 
     async def start(self) -> None:
         """Listens on loopback."""
@@ -105,7 +106,9 @@
             for _ in range(int(rate * passed) - sent):
                 next(targets).transport.write(_stamped(line_bytes))
                 sent += 1
+            slept = time.monotonic()
             await asyncio.sleep(PUSH_EVERY)
+            self.longest_pause = max(self.longest_pause, time.monotonic() - slept - PUSH_EVERY)
         return sent
 
 
