--- a/cedarledge/scale/candidates.py
+++ b/cedarledge/scale/candidates.py
@@ -27,12 +27,32 @@
             "s until all hold a record of membership, the nearest carrier, over 4 s",
             in_force,
         ),
+        (
+            "numbered configuration: the same, a tenth of datagrams lost",
+            MISSING,
+            "s until all hold the record, over 4 s",
+            slopes.at("membership_loss_10", "change_known_all", relays).times(
+                1 / target.CONFIG_IN_FORCE_SECONDS
+            ),
+        ),
         (
             "bounded views in place of full exchange",
             MEMBERSHIP_FILES,
             "bytes/s over membership's part",
             payload.times(1 / allowed),
         ),
+        (
+            "bounded views: the same, a tenth of datagrams lost",
+            MEMBERSHIP_FILES,
+            "bytes/s over membership's part",
+            slopes.at("membership_loss_10", "bytes_per_second", relays).times(1 / allowed),
+        ),
+        (
+            "bounded views: the same, records that do not change",
+            MEMBERSHIP_FILES,
+            "bytes/s over membership's part",
+            slopes.at("membership_still", "bytes_per_second", relays).times(1 / allowed),
+        ),
         (
             "bounded views: members over the bound",
             MEMBERSHIP_FILES,
--- a/cedarledge/scale/membership.py
+++ b/cedarledge/scale/membership.py
@@ -68,14 +68,16 @@
         return [heard[0]] + [heard[int(np.ceil(share * others)) - 1] for share in SHARES_OF_MEMBERS]
 
 
-def measure(size: int, seed: int, calm_seconds: float, loss: float = 0.0) -> MembershipSample:
-    """One fleet of a size, with a share of all datagrams lost."""
+def measure(
+    size: int, seed: int, calm_seconds: float, loss: float = 0.0, changing: bool = True
+) -> MembershipSample:
+    """One fleet of a size, with a share of all datagrams lost; `changing`: records change all the time."""
     calm = int(calm_seconds * SECOND)
     kill_at = WARM_UP + calm + CHANGE_AWAITED
     kill = Trouble("kill", kill_at, kill_at + SECOND, (size // 2,))
     fleet = Fleet(size, seed, [kill], lane=Lane(loss=loss), settled=True)
     fleet.world.acted = _nothing
-    _tell_records(fleet)
+    _tell_records(fleet, changing)
     fleet.world.run(WARM_UP)
     bytes_before, messages_before = _sent(fleet)
     false_before = fleet.false_suspicions
@@ -98,8 +100,9 @@
     )
 
 
-def _tell_records(fleet: Fleet) -> None:
-    """All hold the records that relays tell of themselves, and go on telling as connections come and go."""
+def _tell_records(fleet: Fleet, changing: bool) -> None:
+    """All hold the records that relays tell of themselves, which may go on changing as connections come and
+    go."""
     for place in fleet.places:
         place.peers.tell(place.now, **_record(place.number, place.number))
     told = [place.peers.news() for place in fleet.places]
@@ -109,7 +112,8 @@
                 place.peers._hear(news)
         place.peers._news.clear()
         _retell_out_of_step(place.peers, len(told))
-        fleet.world.after(fleet.chance.randrange(TELL_EVERY), _tell_again, fleet, place)
+        if changing:
+            fleet.world.after(fleet.chance.randrange(TELL_EVERY), _tell_again, fleet, place)
 
 
 def _retell_out_of_step(peers: Peers, size: int) -> None:
--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -25,6 +25,7 @@
     ViewPart,
 )
 from cedarledge.scale.slopes import Curve, MeasurementRun, curve_of
+from cedarledge.terms import SECOND
 
 Report = Callable[[str], None]
 
@@ -177,16 +178,22 @@
 def _membership(runner: Runner, part: MembershipPart) -> Iterator[MeasurementRun]:
     began = time.monotonic()
     calls = [
-        (size, partial(membership.measure, size, runner.seed + turn, part.calm_s, part.loss))
+        (size, partial(membership.measure, size, runner.seed + turn, part.calm_s, part.loss, part.changing))
         for size in part.sizes
         for turn in range(1 if size > part.most_samples_over else part.seeds)
     ]
+    records = "change all the time as connections come and go" if part.changing else "do not change"
+    change_most, death_most = (
+        span / SECOND for span in (membership.CHANGE_AWAITED, membership.DEATH_AWAITED)
+    )
     notes = (
-        f"Virtual time, 1 ms a way, {part.loss:.0%} lost, records change all the time as connections "
-        f"come and go. Times until a change is known end at {membership.CHANGE_AWAITED / 1e9:g} s, "
-        f"until a death is at {membership.DEATH_AWAITED / 1e9:g} s. Processor time has the model's own in it."
+        f"Virtual time, 1 ms a way, {part.loss:.0%} lost; records {records}. Times until a change is known "
+        f"end at {change_most:g} s, until a death is at {death_most:g} s. Processor time has the model's own "
+        "in it."
     )
-    name = f"membership_loss_{part.loss * 100:.0f}" if part.loss else "membership"
+    name = "membership" if part.changing else "membership_still"
+    if part.loss:
+        name += f"_loss_{part.loss * 100:.0f}"
     yield runner.record(name, "members", began, runner.play(name, calls, runner.jobs), notes)
 
 
--- a/cedarledge/scale/scenario.py
+++ b/cedarledge/scale/scenario.py
@@ -23,6 +23,7 @@
     seeds: Seeds = 2
     calm_s: Span = 15.0
     loss: Annotated[float, Meta(ge=0, le=0.5)] = 0.0
+    changing: bool = True  # records change all the time, as connections come and go
     most_samples_over: Annotated[int, Meta(ge=2)] = 460  # above this size one seed is played
 
 
