Scale: fits in one step for all draws; hollow processes begin together once all are ready

Cause: 'scale check' took 6 s for its bootstrap, and a slow start of a hollow process ate into its spans. Change: the bootstrap is one matrix; workers say that they are ready and are told when to begin; deliveries are waited for until all have come.

--- a/cedarledge/scale/fit.py
+++ b/cedarledge/scale/fit.py
@@ -15,6 +15,8 @@
 HOLDOUT_TOLERANCE, RESIDUAL_TOLERANCE = 0.15, 0.5
 BOOTSTRAP_ROUNDS, BOOTSTRAP_SEED = 400, 7
 INTERVAL = (2.5, 97.5)
+# A draw of fewer different sizes says nothing of a slope.
+LEAST_DIFFERENT = 3
 SIGNIFICANT_DIGITS = 6
 # Values at or below zero have no logarithm.
 SMALLEST_LOGGED = 1e-12
@@ -90,19 +92,27 @@
     return max(errors)
 
 
-def _bootstrap(sizes: np.ndarray, values: np.ndarray) -> tuple[list[float], list[float]]:
+def _slopes(sizes: np.ndarray, values: np.ndarray) -> np.ndarray:
+    """The least-squares slope of each row."""
+    off_sizes = sizes - sizes.mean(axis=1, keepdims=True)
+    off_values = values - values.mean(axis=1, keepdims=True)
+    return (off_sizes * off_values).sum(axis=1) / (off_sizes**2).sum(axis=1)
+
+
+def _interval(sizes: np.ndarray, values: np.ndarray) -> tuple[float, float]:
+    low, high = np.percentile(_slopes(sizes, values), INTERVAL)
+    return float(low), float(high)
+
+
+def _bootstrap(sizes: np.ndarray, values: np.ndarray) -> tuple[tuple[float, float], tuple[float, float]]:
     """Intervals of the slope and of the exponent."""
     generator = np.random.default_rng(BOOTSTRAP_SEED)
-    slopes, exponents = [], []
-    for _ in range(BOOTSTRAP_ROUNDS):
-        chosen = generator.integers(0, len(sizes), len(sizes))
-        if len(set(sizes[chosen])) < 3:
-            continue
-        slopes.append(_least_squares(sizes[chosen], values[chosen]).slope)
-        exponents.append(_power_law(sizes[chosen], values[chosen]).slope)
-    return [float(np.percentile(slopes, part)) for part in INTERVAL], [
-        float(np.percentile(exponents, part)) for part in INTERVAL
-    ]
+    chosen = generator.integers(0, len(sizes), (BOOTSTRAP_ROUNDS, len(sizes)))
+    different = np.array([len(set(row)) for row in sizes[chosen]])
+    chosen = chosen[different >= LEAST_DIFFERENT]
+    drawn_sizes, drawn_values = sizes[chosen], values[chosen]
+    logged_values = np.log(np.maximum(drawn_values, SMALLEST_LOGGED))
+    return _interval(drawn_sizes, drawn_values), _interval(np.log(drawn_sizes), logged_values)
 
 
 def rounded(value: float) -> float:
--- a/cedarledge/scale/hollow.py
+++ b/cedarledge/scale/hollow.py
@@ -13,10 +13,11 @@
 
 import msgspec
 
-from cedarledge.scale.hollow_worker import WorkerResult, WorkerSpec
+from cedarledge.scale.hollow_worker import READY, WorkerResult, WorkerSpec
 from cedarledge.terms import MS, SECOND
 
-IMPORTS_TAKE = 3 * SECOND
+# From the last process that is ready to the common beginning.
+BEGIN_AFTER = SECOND // 10
 # Past its end a worker is killed.
 KILL_AFTER = 30.0
 
@@ -71,8 +72,9 @@
         spans = settle_seconds, calm_seconds, change_seconds
         specs = _specs(size, min(processes, size), backends, *spans)
         workers = [_start(Path(folder) / f"{place}.json", spec) for place, spec in enumerate(specs)]
-        length = (specs[0].end - time.monotonic_ns()) / SECOND + KILL_AFTER
+        length = specs[0].end / SECOND + KILL_AFTER
         try:
+            _begin(workers)
             results = [_result(worker, length) for worker in workers]
         finally:
             for worker in workers:
@@ -89,8 +91,7 @@
     calm_seconds: float,
     change_seconds: float,
 ) -> list[WorkerSpec]:
-    begin = time.monotonic_ns() + IMPORTS_TAKE
-    calm_from = begin + int(settle_seconds * SECOND)
+    calm_from = int(settle_seconds * SECOND)
     calm_to = calm_from + int(calm_seconds * SECOND)
     addresses = tuple(free_addresses(size))
     bounds = [size * place // processes for place in range(processes + 1)]
@@ -100,7 +101,6 @@
             first,
             past - first,
             backends,
-            begin,
             calm_from,
             calm_to,
             calm_to + int(change_seconds * SECOND),
@@ -112,7 +112,18 @@
 def _start(path: Path, spec: WorkerSpec) -> subprocess.Popen[bytes]:
     path.write_bytes(msgspec.json.encode(spec))
     command = [sys.executable, "-m", "cedarledge.scale.hollow_worker", str(path)]
-    return subprocess.Popen(command, stdout=subprocess.PIPE)
+    return subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+
+
+def _begin(workers: list[subprocess.Popen[bytes]]) -> None:
+    """Once all are ready, all begin at one moment. Raises HollowError."""
+    for worker in workers:
+        if worker.stdout.readline() != READY:
+            raise HollowError("a process of hollow relays did not start")
+    begin = time.monotonic_ns() + BEGIN_AFTER
+    for worker in workers:
+        worker.stdin.write(b"%d\n" % begin)
+        worker.stdin.flush()
 
 
 def _result(worker: subprocess.Popen[bytes], within: float) -> WorkerResult:
--- a/cedarledge/scale/hollow_worker.py
+++ b/cedarledge/scale/hollow_worker.py
@@ -1,7 +1,8 @@
 """One process of hollow relays: python -m cedarledge.scale.hollow_worker SPEC.json.
 
 Each has the real membership machine and shell on a UDP socket of its own, and the real policy without
-clients. It runs by the times in its spec, writes one JSON object to standard output, and ends.
+clients. The process says that it is ready, reads from standard input when to begin (the machine's monotonic
+clock, ns), writes one JSON object to standard output at its end, and ends.
 """
 
 from __future__ import annotations
@@ -29,16 +30,16 @@
 LOOK_EVERY, CHANGE_LOOK_EVERY = 250 * MS, 20 * MS
 START_OVER = SECOND
 CHANGED_STATE = "away"
+READY = b"ready\n"
 
 
 class WorkerSpec(msgspec.Struct, frozen=True):
-    """What one process plays. Times are of the machine's monotonic clock, ns."""
+    """What one process plays. Times are ns after the beginning."""
 
     addresses: tuple[str, ...]  # of all members
     first: int  # of this process, by place
     count: int
     backends: int
-    begin: int
     calm_from: int
     calm_to: int
     end: int
@@ -112,8 +113,9 @@
 class Worker:
     """All hollow relays of this process, and what is measured of them."""
 
-    def __init__(self, spec: WorkerSpec) -> None:
+    def __init__(self, spec: WorkerSpec, begin: int) -> None:
         self.spec = spec
+        self.begin = begin
         self.deadlines = Deadlines(installed_reactor, steady_clock())
         self.result = WorkerResult(spec.count, base_bytes=resident_bytes())
         self.relays: list[HollowRelay] = []
@@ -125,15 +127,18 @@
         """Plays all by the times of the spec, and returns at its end."""
         for place in range(self.spec.first, self.spec.first + self.spec.count):
             delay = START_OVER * place // len(self.spec.addresses)
-            self._at(self.spec.begin + delay, partial(self._start, place))
-        self._at(self.spec.begin + LOOK_EVERY, self._look)
+            self._at(delay, partial(self._start, place))
+        self._at(LOOK_EVERY, self._look)
         self._at(self.spec.calm_from, self._begin_calm)
         self._at(self.spec.calm_to, self._end_calm)
         self._at(self.spec.end, self._end)
         installed_reactor.run()
 
     def _at(self, when: int, call: Any) -> None:
-        self.deadlines.after(when - time.monotonic_ns(), call)
+        self.deadlines.after(self.begin + when - time.monotonic_ns(), call)
+
+    def _passed(self) -> int:
+        return time.monotonic_ns() - self.begin
 
     def _start(self, place: int) -> None:
         relay = HollowRelay(self, place)
@@ -145,8 +150,8 @@
 
     def _look(self) -> None:
         if self._whole() == self.spec.count:
-            self.result.whole_after = time.monotonic_ns() - self.spec.begin
-        elif time.monotonic_ns() < self.spec.calm_from:
+            self.result.whole_after = self._passed()
+        elif self._passed() < self.spec.calm_from:
             self.deadlines.after(LOOK_EVERY, self._look)
 
     def _sum(self) -> Traffic:
@@ -181,7 +186,7 @@
         for relay in self.relays:
             if not relay.knows_change and relay.place and relay.has_heard("relay-0"):
                 relay.knows_change = True
-                self.result.change_known.append(time.monotonic_ns() - self.spec.calm_to)
+                self.result.change_known.append(self._passed() - self.spec.calm_to)
         self.deadlines.after(CHANGE_LOOK_EVERY, self._look_for_change)
 
     def _end(self) -> None:
@@ -194,7 +199,9 @@
     """Plays the spec that the command line names."""
     logger.remove()
     spec = msgspec.json.decode(Path(sys.argv[1]).read_bytes(), type=WorkerSpec)
-    Worker(spec).run()
+    sys.stdout.buffer.write(READY)
+    sys.stdout.flush()
+    Worker(spec, int(sys.stdin.readline())).run()
 
 
 if __name__ == "__main__":
--- a/cedarledge/scale/relay_load.py
+++ b/cedarledge/scale/relay_load.py
@@ -15,8 +15,8 @@
 from cedarledge.terms import MS
 
 OPEN_LONGEST = 240.0
-# After the last line was sent.
-DRAIN = 1.0
+# How long lines may be under way after the last one was sent.
+DRAIN, DRAIN_LOOK = 10.0, 0.05
 
 
 class RestSample(msgspec.Struct, frozen=True):
@@ -70,6 +70,12 @@
         if not await self.clients.grow(connections, OPEN_LONGEST):
             raise RelayError(f"{len(self.clients.open)} of {connections} connections could be opened")
 
+    async def drain(self, sent: int) -> None:
+        """Waits until all lines have come, or no longer."""
+        until = time.monotonic() + DRAIN
+        while self.clients.received < sent and time.monotonic() < until:
+            await asyncio.sleep(DRAIN_LOOK)
+
     def stop(self) -> None:
         """Ends the relay and its clients."""
         self.clients.close()
@@ -134,8 +140,8 @@
         await asyncio.sleep(settle_seconds)
         before = processor_ns(stage.relay.pid)
         sent = await stage.backends.push(rate, seconds, line_bytes)
+        await stage.drain(sent)
         busy = processor_ns(stage.relay.pid) - before
-        await asyncio.sleep(DRAIN)
         latency = stage.clients.latency
         return DeliverySample(
             busy / MS / seconds,
--- a/cedarledge/scale/relay_process.py
+++ b/cedarledge/scale/relay_process.py
@@ -15,7 +15,7 @@
 from cedarledge.scale.relay_settings import RELAY_SETTINGS
 from cedarledge.scale.traffic import REVISION, Backends, Discovery
 
-READY_WITHIN = 15.0
+READY_WITHIN = 30.0
 LOOK_EVERY = 0.05
 
 
