--- a/cedarledge/scale/candidates.py
+++ b/cedarledge/scale/candidates.py
@@ -14,7 +14,7 @@
     """A row for each mechanism that was weighed."""
     load = own_load(slopes)
     relays = target.RELAYS
-    in_force = slopes.at("hollow", "change_known_all", relays).times(1 / target.CONFIG_IN_FORCE_SECONDS)
+    in_force = slopes.at("membership", "change_known_all", relays).times(1 / target.CONFIG_IN_FORCE_SECONDS)
     payload = slopes.at("hollow", "bytes_per_second", relays)
     allowed = target.CONTROL_BYTES_PER_SECOND * assumptions.BUDGET_SHARES["membership"] / 100
     whole_table = target.SHARDS * assumptions.SHARD_ROW_BYTES / target.CONTROL_BYTES_PER_SECOND
@@ -28,12 +28,10 @@
             in_force,
         ),
         (
-            "numbered configuration: the same, a tenth of datagrams lost",
+            "numbered configuration: the same, a minute after all relays started at once",
             MISSING,
             "s until all hold the record, over 4 s",
-            slopes.at("membership_loss_10", "change_known_all", relays).times(
-                1 / target.CONFIG_IN_FORCE_SECONDS
-            ),
+            slopes.at("hollow", "change_known_all", relays).times(1 / target.CONFIG_IN_FORCE_SECONDS),
         ),
         (
             "bounded views in place of full exchange",
@@ -53,6 +51,12 @@
             "bytes/s over membership's part",
             slopes.at("membership_still", "bytes_per_second", relays).times(1 / allowed),
         ),
+        (
+            "bounded views: the same, records that do not change, a tenth lost",
+            MEMBERSHIP_FILES,
+            "bytes/s over membership's part",
+            slopes.at("membership_still_loss_10", "bytes_per_second", relays).times(1 / allowed),
+        ),
         (
             "bounded views: members over the bound",
             MEMBERSHIP_FILES,
--- a/cedarledge/scale/yearly_events.py
+++ b/cedarledge/scale/yearly_events.py
@@ -40,15 +40,7 @@
             "region back: s of the control bytes that one takes",
             _full_exchange().times(1 / target.CONTROL_BYTES_PER_SECOND),
         ),
-        (
-            "600 changes a day: s until 99 in 100 know a membership record",
-            slopes.at("hollow", "change_known_99", target.RELAYS),
-        ),
-        ("600 changes a day: s until all know it", slopes.at("hollow", "change_known_all", target.RELAYS)),
-        (
-            "600 changes a day: s until all know it, a tenth of datagrams lost",
-            slopes.at("membership_loss_10", "change_known_all", target.RELAYS),
-        ),
+        *_changes(slopes),
         ("all relays back within a second: s until all views are whole", _joined(slopes)),
         ("one bad change a day: relays that follow it before anyone can refuse", arithmetic(target.RELAYS)),
     )
@@ -59,6 +51,21 @@
     )
 
 
+def _changes(slopes: Slopes) -> tuple[tuple[str, Figure], ...]:
+    """How long a record of membership, the nearest that there is, takes to be known."""
+    names = (("half", "change_known_half"), ("99 in 100", "change_known_99"), ("all", "change_known_all"))
+    situations = (
+        ("on an ordinary day", "membership"),
+        ("a tenth of datagrams lost", "membership_loss_10"),
+        ("a minute after all relays started at once", "hollow"),
+    )
+    return tuple(
+        (f"a changed record, {situation}: s until {who} know it", slopes.at(run, quantity, target.RELAYS))
+        for situation, run in situations
+        for who, quantity in names
+    )
+
+
 def _joined(slopes: Slopes) -> Figure:
     return slopes.at("hollow", "whole_view_after", target.RELAYS)
 
