Scale: hollow relays that start one after the other, beside a mass start

Cause: 460 hollow relays that started within a second on a busy machine had whole views at 6% of them a minute later; what a settled fleet costs on sockets can't be read off that. Change: a scenario may spread the starts, and its record stands apart; curves of few sizes show what was measured. Result: spread.toml is not run yet; the mass start is in the slopes as it was measured.

--- a/cedarledge/scale/control_budget.py
+++ b/cedarledge/scale/control_budget.py
@@ -53,14 +53,14 @@
 
 def membership_part(slopes: Slopes) -> Part:
     """Membership, by hollow relays on sockets and by the memory of one view."""
-    payload = slopes.at("hollow", "bytes_per_second", target.RELAYS)
-    headers = slopes.at("hollow", "messages_per_second", target.RELAYS).times(
+    payload = slopes.at("hollow_spread", "bytes_per_second", target.RELAYS)
+    headers = slopes.at("hollow_spread", "messages_per_second", target.RELAYS).times(
         assumptions.DATAGRAM_HEADER_BYTES
     )
     return Part(
         "membership",
         MEMBERSHIP_FILES,
-        _percent(slopes.at("hollow", "processor_ms_per_second", target.RELAYS)),
+        _percent(slopes.at("hollow_spread", "processor_ms_per_second", target.RELAYS)),
         slopes.at("view", "bytes", target.RELAYS).times(1 / MEGABYTE),
         payload.plus(headers),
     )
--- a/cedarledge/scale/roles.py
+++ b/cedarledge/scale/roles.py
@@ -26,7 +26,7 @@
         (
             "relay: membership, messages/s sent",
             MEMBERSHIP_FILES,
-            slopes.at("hollow", "messages_per_second", relays),
+            slopes.at("hollow_spread", "messages_per_second", relays),
         ),
         ("backend: probes/s from 460 relays without clients, of 100 backends", PROBE_FILES, probes),
         (
@@ -52,14 +52,14 @@
         (
             "rig: 460 hollow relays, cores",
             "`scale/hollow.py`",
-            slopes.at("hollow", "processor_ms_per_second", relays).times(relays / 1000),
+            slopes.at("hollow_spread", "processor_ms_per_second", relays).times(relays / 1000),
         ),
         (
             "rig: 460 hollow relays, MB over six processes",
             "`scale/hollow.py`",
-            slopes.at("hollow", "memory_bytes", relays)
+            slopes.at("hollow_spread", "memory_bytes", relays)
             .times(relays / MEGABYTE)
-            .plus(slopes.at("hollow", "process_base_bytes", relays).times(6 / MEGABYTE)),
+            .plus(slopes.at("hollow_spread", "process_base_bytes", relays).times(6 / MEGABYTE)),
         ),
     )
     return Table(
--- a/cedarledge/scale/run_tables.py
+++ b/cedarledge/scale/run_tables.py
@@ -97,15 +97,17 @@
 
 def _curve_cells(curve: Curve) -> tuple[str, ...]:
     fit, largest = curve.fit, number(curve.largest_size())
-    if fit is None:
-        return curve.unit, "too few sizes for a fit", "", "", largest
-    if not curve.spans_enough():
-        return curve.unit, "no fit: fewer than 5 sizes or a factor below 30", "", "", largest
+    if fit is None or not curve.spans_enough():
+        return curve.unit, "no fit, measured: " + _means(curve), "", "", largest
     low, high = (fit.slope_low, fit.slope_high) if fit.is_line else (fit.exponent_low, fit.exponent_high)
     of = "slope" if fit.is_line else "exponent"
     return curve.unit, fit.formula(), f"{of} {number(low)} to {number(high)}", f"{fit.exponent:.2f}", largest
 
 
+def _means(curve: Curve) -> str:
+    return ", ".join(f"{number(curve.mean_at(row.size))} at {row.size:g}" for row in curve.samples)
+
+
 def comparison_table(slopes: Slopes) -> Table:
     """Real and hollow relays side by side, at each size that both were run at."""
     quantities = (
--- a/cedarledge/scale/yearly_events.py
+++ b/cedarledge/scale/yearly_events.py
@@ -41,7 +41,7 @@
             _full_exchange().times(1 / target.CONTROL_BYTES_PER_SECOND),
         ),
         *_changes(slopes),
-        ("all relays back within a second: s until all views are whole", _joined(slopes)),
+        ("all relays back within a second: share of whole views a minute later", _joined(slopes)),
         ("one bad change a day: relays that follow it before anyone can refuse", arithmetic(target.RELAYS)),
     )
     return Table(
@@ -67,7 +67,7 @@
 
 
 def _joined(slopes: Slopes) -> Figure:
-    return slopes.at("hollow", "whole_view_after", target.RELAYS)
+    return slopes.at("hollow", "whole_view_share", target.RELAYS)
 
 
 def _rate(count: float, seconds: Figure) -> Figure:
