--- a/cedarledge/scale/runner.py
+++ b/cedarledge/scale/runner.py
@@ -277,8 +277,9 @@
     ]
     notes = (
         f"UDP on loopback, {part.processes} processes at most, all started within {part.start_s:g} s; "
-        f"records change all the time; {part.backends} backends, probes counted and not "
-        f"sent. Times until a change is known end at {part.change_s:g} s; whole_view_after is -1 where not all views were whole in time."
+        f"records change all the time; {part.backends} backends, probes counted and not sent. Times until a "
+        f"change is known end at {part.change_s:g} s; whole_view_after is -1 where not all views were whole "
+        "in time."
     )
     name = "hollow" if part.start_s <= MASS_START else "hollow_spread"
     yield runner.record(name, "relays", began, runner.play(name, calls, 1), notes)
