Scale: a delivered line at a rate at which lines come one by one

Cause: where the load generator stands still, lines come in batches and cost the relay less each, so the curve over 8,000 lines a second says too little. Change: the table takes the cost of a line at 1,000 a second, and shows the curve's figure beside it.

--- a/cedarledge/scale/figures.py
+++ b/cedarledge/scale/figures.py
@@ -100,6 +100,13 @@
             return Figure(curve.fit.value_at(size), Basis.SLOPE, reach)
         return Figure(curve.fit.value_at(size), Basis.EXPONENT, reach)
 
+    def measured(self, run: str, quantity: str, size: float) -> Figure:
+        """The mean at a size that was run."""
+        curve = self.curve(run, quantity)
+        if curve is None:
+            return Figure(0.0, Basis.NONE)
+        return Figure(curve.mean_at(size), Basis.MEASURED, f"{run}.{quantity} at {size:g}")
+
     def slope(self, run: str, quantity: str) -> Figure:
         """What one more of the size adds."""
         curve = self.curve(run, quantity)
--- a/cedarledge/scale/own_load.py
+++ b/cedarledge/scale/own_load.py
@@ -11,6 +11,8 @@
 from cedarledge.scale.page import Table, figure_rows
 
 MEGABYTE = 1e6
+# Lines a second at which the load generator of the runs kept up and sent each by itself.
+UNBATCHED_RATE = 1_000
 
 
 class OwnLoad(NamedTuple):
@@ -21,6 +23,7 @@
     resting_cores: Figure
     delivery_ms: Figure
     delivery_cores: Figure
+    batched_cores: Figure
     open_ms: Figure
     processes_by_processor: Figure
     processes_by_connections: Figure
@@ -32,8 +35,9 @@
     connections, deliveries = target.CONNECTIONS_PER_RELAY, target.DELIVERIES_PER_RELAY
     per_connection = slopes.slope("relay_rest", "resident_bytes")
     resting = slopes.at("relay_rest", "processor_ms_per_second", connections).times(1e-3)
-    delivery = slopes.slope("relay_deliveries", "processor_ms_per_second")
-    delivery_cores = slopes.at("relay_deliveries", "processor_ms_per_second", deliveries).times(1e-3)
+    delivery = _delivery_ms(slopes)
+    batched_cores = slopes.at("relay_deliveries", "processor_ms_per_second", deliveries).times(1e-3)
+    delivery_cores = delivery.times(deliveries / 1000)
     busy = delivery_cores.plus(resting)
     by_processor = busy._replace(value=float(math.ceil(busy.value / assumptions.PROCESS_CORE_SHARE)))
     by_connections = _processes_by_connections(slopes, connections)
@@ -44,6 +48,7 @@
         resting,
         delivery,
         delivery_cores,
+        batched_cores,
         _open_ms(slopes),
         by_processor,
         by_connections,
@@ -51,6 +56,12 @@
     )
 
 
+def _delivery_ms(slopes: Slopes) -> Figure:
+    """At a rate at which lines come one by one: read in batches they cost less each."""
+    total = slopes.measured("relay_deliveries", "processor_ms_per_second", UNBATCHED_RATE)
+    return total.times(1 / UNBATCHED_RATE)
+
+
 def _open_ms(slopes: Slopes) -> Figure:
     """At the most connections that were run; it hangs little on how many there are."""
     curve = slopes.curve("relay_rest", "processor_ms_per_open")
@@ -88,8 +99,9 @@
         ("memory a resting connection, bytes", load.memory_per_connection),
         ("memory of 93,478 connections in one process, MB", load.memory.times(1 / MEGABYTE)),
         (f"93,478 resting connections, {cores}", load.resting_cores),
-        ("a delivered line, ms of a core", load.delivery_ms),
-        (f"11,522 deliveries a second, {cores}", load.delivery_cores),
+        (f"a delivered line at {UNBATCHED_RATE:,} a second, ms of a core", load.delivery_ms),
+        (f"11,522 deliveries a second at that, {cores}", load.delivery_cores),
+        (f"the same by the curve, where lines come in batches, {cores}", load.batched_cores),
         ("an opened connection, ms of a core", load.open_ms),
         ("latency of a line, median in ms, at the most lines run", _latency(slopes)),
         (
