--- a/cedarledge/scale/candidates.py
+++ b/cedarledge/scale/candidates.py
@@ -15,7 +15,7 @@
     load = own_load(slopes)
     relays = target.RELAYS
     in_force = slopes.at("membership", "change_known_all", relays).times(1 / target.CONFIG_IN_FORCE_SECONDS)
-    payload = slopes.at("hollow_spread", "bytes_per_second", relays)
+    payload = slopes.at("membership", "bytes_per_second", relays)
     allowed = target.CONTROL_BYTES_PER_SECOND * assumptions.BUDGET_SHARES["membership"] / 100
     whole_table = target.SHARDS * assumptions.SHARD_ROW_BYTES / target.CONTROL_BYTES_PER_SECOND
     probing = arithmetic(assumptions.BACKENDS / assumptions.PROBES_WITH_CLIENTS_PER_SECOND)
@@ -39,6 +39,12 @@
             "bytes/s over membership's part",
             payload.times(1 / allowed),
         ),
+        (
+            "bounded views: the same on sockets of a busy machine",
+            MEMBERSHIP_FILES,
+            "bytes/s over membership's part",
+            slopes.at("hollow_spread", "bytes_per_second", relays).times(1 / allowed),
+        ),
         (
             "bounded views: the same, a tenth of datagrams lost",
             MEMBERSHIP_FILES,
--- a/cedarledge/scale/control_budget.py
+++ b/cedarledge/scale/control_budget.py
@@ -52,9 +52,9 @@
 
 
 def membership_part(slopes: Slopes) -> Part:
-    """Membership, by hollow relays on sockets and by the memory of one view."""
-    payload = slopes.at("hollow_spread", "bytes_per_second", target.RELAYS)
-    headers = slopes.at("hollow_spread", "messages_per_second", target.RELAYS).times(
+    """Bytes by the model, processor time by hollow relays on sockets, memory by one view."""
+    payload = slopes.at("membership", "bytes_per_second", target.RELAYS)
+    headers = slopes.at("membership", "messages_per_second", target.RELAYS).times(
         assumptions.DATAGRAM_HEADER_BYTES
     )
     return Part(
@@ -141,15 +141,30 @@
             [(part, part.processor_percent) for part in parts],
         ),
         _budget("control-memory", "MB", target.CONTROL_MEMORY_MB, [(part, part.memory_mb) for part in parts]),
-        _budget(
-            "control-bytes",
-            "bytes/s",
-            target.CONTROL_BYTES_PER_SECOND,
-            [(part, part.bytes_per_second) for part in parts],
+        _with_still_records(
+            slopes,
+            _budget(
+                "control-bytes",
+                "bytes/s",
+                target.CONTROL_BYTES_PER_SECOND,
+                [(part, part.bytes_per_second) for part in parts],
+            ),
+            parts,
         ),
     ]
 
 
+def _with_still_records(slopes: Slopes, table: Table, parts: tuple[Part, ...]) -> Table:
+    """One row more: the whole, if members told records that do not change."""
+    others = [part.bytes_per_second for part in parts if part.name != "membership"]
+    still = slopes.at("membership_still", "bytes_per_second", target.RELAYS)
+    total = Figure(0.0, Basis.NONE)
+    if not still.missing and not any(needed.missing for needed in others):
+        total = arithmetic(still.value + sum(needed.value for needed in others))
+    row = _budget_row("all, with records that stay", "", total, target.CONTROL_BYTES_PER_SECOND)
+    return Table(table.name, table.head, (*table.rows, row))
+
+
 def _budget(name: str, unit: str, budget: float, needs: list[tuple[Part, Figure]]) -> Table:
     rows = [
         _budget_row(part.name, part.carried_by, needed, budget * assumptions.BUDGET_SHARES[part.name] / 100)
--- a/cedarledge/scale/own_load.py
+++ b/cedarledge/scale/own_load.py
@@ -73,12 +73,7 @@
 
 
 def _latency(slopes: Slopes) -> Figure:
-    curve = slopes.curve("relay_deliveries", "latency_p50_ms")
-    if curve is None:
-        return Figure(0.0, Basis.NONE)
-    largest = curve.largest_size()
-    source = f"relay_deliveries.latency_p50_ms at {largest:g} lines/s of one process"
-    return Figure(curve.mean_at(largest), Basis.MEASURED, source)
+    return slopes.measured("relay_deliveries", "latency_p50_ms", UNBATCHED_RATE)
 
 
 def _processes_by_connections(slopes: Slopes, connections: float) -> Figure:
@@ -103,7 +98,7 @@
         (f"11,522 deliveries a second at that, {cores}", load.delivery_cores),
         (f"the same by the curve, where lines come in batches, {cores}", load.batched_cores),
         ("an opened connection, ms of a core", load.open_ms),
-        ("latency of a line, median in ms, at the most lines run", _latency(slopes)),
+        (f"latency of a line at {UNBATCHED_RATE:,} a second, median, ms", _latency(slopes)),
         (
             f"processes a machine at {assumptions.PROCESS_CORE_SHARE:.0%} of a core each",
             load.processes_by_processor,
--- a/cedarledge/scale/roles.py
+++ b/cedarledge/scale/roles.py
@@ -26,7 +26,7 @@
         (
             "relay: membership, messages/s sent",
             MEMBERSHIP_FILES,
-            slopes.at("hollow_spread", "messages_per_second", relays),
+            slopes.at("membership", "messages_per_second", relays),
         ),
         ("backend: probes/s from 460 relays without clients, of 100 backends", PROBE_FILES, probes),
         (
--- a/cedarledge/scale/yearly_events.py
+++ b/cedarledge/scale/yearly_events.py
@@ -56,6 +56,7 @@
     names = (("half", "change_known_half"), ("99 in 100", "change_known_99"), ("all", "change_known_all"))
     situations = (
         ("on an ordinary day", "membership"),
+        ("with records that stay", "membership_still"),
         ("a tenth of datagrams lost", "membership_loss_10"),
         ("a minute after all relays started at once", "hollow"),
     )
