--- a/cedarledge/scale/fit.py
+++ b/cedarledge/scale/fit.py
@@ -100,7 +100,9 @@
 
 
 def _interval(sizes: np.ndarray, values: np.ndarray) -> tuple[float, float]:
-    low, high = np.percentile(_slopes(sizes, values), INTERVAL)
+    slopes = _slopes(sizes, values)
+    least = NEGLIGIBLE * np.abs(values).max() / np.abs(sizes).max()
+    low, high = np.percentile(np.where(np.abs(slopes) > least, slopes, 0.0), INTERVAL)
     return float(low), float(high)
 
 
