Hand-over tests reach their sockets by the folder's descriptor

Cause: two of them failed with 'AF_UNIX path too long' in a folder of pytest's that counts to 231: their own ends of the socket named it in full, where the relay takes the short way. Change: the tests take it too; nothing asserted changes.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -143,12 +143,27 @@
         assert len(backend.heads) == len(stream.answers) + others, "and nobody set up twice"
 
 
+@contextmanager
+def reachable(path: Path) -> Iterator[str]:
+    """A socket's path by its folder's descriptor: of 107 bytes a test's folder alone may take more."""
+    folder = os.open(path.parent, os.O_PATH | os.O_DIRECTORY)
+    try:
+        yield f"/proc/self/fd/{folder}/{path.name}"
+    finally:
+        os.close(folder)
+
+
+def connect_to(link: socket.socket, path: Path) -> None:
+    with reachable(path) as name:
+        link.connect(name)
+
+
 def test_the_new_process_dies_before_it_serves_and_the_old_one_goes_on(tmp_path: Path) -> None:
     with pair(tmp_path, Backend("a")) as relay:
         path = own_path(relay.folder, "n0", relay.process.pid)
         assert path.stat().st_mode & 0o777 == 0o600
         with closing(socket.socket(socket.AF_UNIX)) as link:
-            link.connect(str(path))
+            connect_to(link, path)
             link.sendall(json.dumps({"version": VERSION, "name": "n0"}).encode() + b"\n")
             estate = read_estate(link.makefile("rb").readline())
             assert [entry["id"] for entry in estate.members] == ["a"] and estate.revision == 7
@@ -159,7 +174,7 @@
         assert waits.hear() == "PONG" and relay.ready()
         # And one that lives on without a word: the lease ends.
         with closing(socket.socket(socket.AF_UNIX)) as link:
-            link.connect(str(path))
+            connect_to(link, path)
             link.sendall(json.dumps({"version": VERSION, "name": "n0"}).encode() + b"\n")
             assert link.recv(1), "its answer has begun"
             start = time.monotonic()
@@ -260,7 +275,7 @@
             b"{" * 200_000,
         ):
             with closing(socket.socket(socket.AF_UNIX)) as link:
-                link.connect(str(path))
+                connect_to(link, path)
                 with suppress(OSError):
                     link.sendall(said)
                     link.shutdown(socket.SHUT_WR)
@@ -269,7 +284,8 @@
         # A left-over file of no process, and one that talks nonsense.
         (relay.folder / path.name.replace(str(relay.process.pid), "1")).touch()
         with closing(socket.socket(socket.AF_UNIX)) as liar:
-            liar.bind(str(relay.folder / path.name.replace(str(relay.process.pid), "2")))
+            with reachable(relay.folder / path.name.replace(str(relay.process.pid), "2")) as name:
+                liar.bind(name)
             liar.listen()
             threading.Thread(target=answer_nonsense, args=(liar,), daemon=True).start()
             assert relay.next() < 6
