--- /dev/null
+++ b/cedarledge/faults/wall_clock.py
@@ -0,0 +1,67 @@
+"""Steps the wall clock of chosen processes, as an operator or a time service would step a machine's."""
+
+from __future__ import annotations
+
+import os
+import shutil
+import struct
+import subprocess
+from pathlib import Path
+
+SOURCE = Path(__file__).with_name("wall_clock.c")
+OFFSET = struct.Struct("=q")
+
+
+class NoCompilerError(Exception):
+    """The preload library can't be built on this machine."""
+
+
+def build(folder: Path) -> Path:
+    """Compiles the preload library into a folder and gives its path. Raises NoCompilerError."""
+    compiler = shutil.which("cc")
+    if compiler is None:
+        raise NoCompilerError("the preload library needs a C compiler, cc, on the PATH")
+    library = folder / "wall_clock.so"
+    command = [
+        compiler,
+        "-shared",
+        "-fPIC",
+        "-O2",
+        "-Wall",
+        "-Werror",
+        str(SOURCE),
+        "-o",
+        str(library),
+        "-ldl",
+    ]
+    built = subprocess.run(command, capture_output=True, text=True, check=False)
+    if built.returncode:
+        raise NoCompilerError(f"the preload library does not compile: {built.stderr.strip()}")
+    return library
+
+
+class WallClock:
+    """The wall clock of all processes that are started with its environment."""
+
+    def __init__(self, folder: Path) -> None:
+        """Keeps its library and its offset in the folder, which has to outlive those processes."""
+        self._library = build(folder)
+        self._path = folder / "wall_clock.offset"
+        self._path.write_bytes(OFFSET.pack(0))
+        self._file = os.open(self._path, os.O_RDWR | os.O_CLOEXEC)
+
+    def environment(self) -> dict[str, str]:
+        """What a process has to be started with to have this clock."""
+        return {"LD_PRELOAD": str(self._library), "CEDARLEDGE_WALL_CLOCK": str(self._path)}
+
+    @property
+    def offset(self) -> int:
+        """How far it stands from the system's, in ns."""
+        return OFFSET.unpack(os.pread(self._file, OFFSET.size, 0))[0]
+
+    def step(self, by: int) -> None:
+        """Steps it by so many ns, forward or back."""
+        os.pwrite(self._file, OFFSET.pack(self.offset + by), 0)
+
+    def close(self) -> None:
+        os.close(self._file)
