Waits are counted by the monotonic clock, whatever becomes of the wall clock

Ruled out: the relay's own clock (monotonic), a pause (sockets were read in time), the policy (it was not told).

--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -29,6 +29,7 @@
 from cedarledge.net.logs import begin_logging, log_to_stderr
 from cedarledge.net.module import MakeBalancer, Module
 from cedarledge.net.paces import Paces
+from cedarledge.net.reactor import install_reactor
 from cedarledge.net.seams import Front, Hearer
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
@@ -296,12 +297,11 @@
 ) -> int:
     """Runs one relay until it is told to end, and gives its exit code. `joins` adds what the operator's file
     has on. Raises BadConfigError."""
-    from twisted.internet import reactor
-
     signals.hold_back()
     wanted = read_operator_file() if read_operator_file is not None else None
     log_to_stderr("info")
     begin_logging()
+    reactor = install_reactor()
     relay = Relay(reactor, orders, balancer)
     if wanted is not None:
         relay.follow(wanted)
--- a/cedarledge/rig/baselines.py
+++ b/cedarledge/rig/baselines.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 from typing import Any
 
+from cedarledge.net.reactor import install_reactor
 from cedarledge.policy import Balancer
 from cedarledge.policy.cells import digest_of, draw_of
 from cedarledge.policy.placement import Choice
@@ -86,10 +87,10 @@
 
 def run_pass(told: dict[str, Any]) -> int:
     """Hands each connection to the next box in turn, bytes unread."""
-    from twisted.internet import reactor
     from twisted.internet.endpoints import TCP4ClientEndpoint, connectProtocol
     from twisted.internet.protocol import Protocol, ServerFactory
 
+    reactor = install_reactor()
     boxes = [entry["host_port"].rpartition(":")[::2] for entry in told["known"]["members"]]
     turn = iter(lambda: boxes.append(boxes.pop(0)) or boxes[-1], None)
 
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -20,6 +20,7 @@
 from twisted.internet.protocol import ProcessProtocol
 
 from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.reactor import install_reactor
 from cedarledge.rig.variants import Variant
 from cedarledge.standins.books import Book, Late, Life, read_books
 from cedarledge.standins.clients import Ping, connect
@@ -388,7 +389,7 @@
     keep: Path | None = None,
 ) -> Verdict:
     """Makes the run and judges it; `keep` is a folder for its books and the relays' logs. Raises RunError."""
-    from twisted.internet import reactor
+    reactor = install_reactor()
 
     with contextlib.ExitStack() as stack:
         if keep is None:
--- a/cedarledge/scale/hollow_worker.py
+++ b/cedarledge/scale/hollow_worker.py
@@ -16,10 +16,10 @@
 
 import msgspec
 from loguru import logger
-from twisted.internet import reactor as installed_reactor
 
 from cedarledge import __version__
 from cedarledge.net.deadlines import Deadlines, steady_clock
+from cedarledge.net.reactor import install_reactor
 from cedarledge.peers.messages import State, Value
 from cedarledge.scale.counting import CountingPeers, CountingShell, Traffic, changing_load
 from cedarledge.scale.policy_host import PolicyHost
@@ -73,7 +73,7 @@
         self.name = f"relay-{place}"
         self.state = "ready"
         address = worker.spec.addresses[place]
-        self.shell = CountingShell(installed_reactor, worker.deadlines, address, self.tells)
+        self.shell = CountingShell(worker.reactor, worker.deadlines, address, self.tells)
         seed = int.from_bytes(os.urandom(8), "big")
         seeds = worker.spec.addresses[:3]
         self.machine = CountingPeers(self.shell, "scale", self.name, address, seeds, seed=seed)
@@ -116,7 +116,8 @@
     def __init__(self, spec: WorkerSpec, begin: int) -> None:
         self.spec = spec
         self.begin = begin
-        self.deadlines = Deadlines(installed_reactor, steady_clock())
+        self.reactor = install_reactor()
+        self.deadlines = Deadlines(self.reactor, steady_clock())
         self.result = WorkerResult(spec.count, base_bytes=resident_bytes())
         self.relays: list[HollowRelay] = []
         self._before = Traffic()
@@ -132,7 +133,7 @@
         self._at(self.spec.calm_from, self._begin_calm)
         self._at(self.spec.calm_to, self._end_calm)
         self._at(self.spec.end, self._end)
-        installed_reactor.run()
+        self.reactor.run()
 
     def _at(self, when: int, call: Any) -> None:
         self.deadlines.after(self.begin + when - time.monotonic_ns(), call)
@@ -192,7 +193,7 @@
     def _end(self) -> None:
         sys.stdout.buffer.write(msgspec.json.encode(self.result))
         sys.stdout.flush()
-        installed_reactor.stop()
+        self.reactor.stop()
 
 
 def main() -> None:
--- a/cedarledge/standins/worker.py
+++ b/cedarledge/standins/worker.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.reactor import install_reactor
 from cedarledge.standins.books import Book, Late
 from cedarledge.standins.boxes import Boxes
 from cedarledge.standins.clients import Crowd
@@ -44,7 +45,7 @@
 
 
 def main() -> int:
-    from twisted.internet import reactor
+    reactor = install_reactor()
 
     post = msgspec.json.decode(sys.stdin.buffer.read(), type=Post)
 
