Failing test: a relay started on a machine whose wall clock stands back refuses its clients

Cause: the same class, a point in Unix time taken for one on this relay's clock: with the clock an hour back, backends that have just started begin in an hour, count as cold until then and their budget shrinks. Result: BUSY where UP was due, with two warm and idle backends.

--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from pathlib import Path
 
-from helpers import SECOND, Backend, Client, Program, until
+from helpers import MS, SECOND, SETTINGS, Backend, Client, Program, until
 from pytest import fixture, mark
 
 from cedarledge.faults.wall_clock import WallClock
@@ -187,3 +187,24 @@
         assert client.hear() == "MOVE"
         assert relay.process.wait(8) == 0
         assert time.monotonic() - began < 0.1 + 1.5 + 0.7
+
+
+# -- starts of backends, which are told in Unix time -------------------------------------------------
+
+
+def started_now(backend: Backend) -> dict:
+    return backend.entry() | {"up_since_ms": time.time_ns() // MS}
+
+
+def test_a_relay_whose_machine_stands_an_hour_back_fills_backends_that_have_just_started(
+    tmp_path: Path, clock: WallClock
+) -> None:
+    """By its own clock they start in an hour, and would count as cold until then."""
+    clock.step(-HOUR)
+    backends = [Backend("a"), Backend("b")]
+    entries = [started_now(backend) for backend in backends]
+    known = {"revision": 7, "complete": True, "members": entries}
+    with SteppedProgram(tmp_path, backends, clock, known=known) as relay:
+        time.sleep(SETTINGS["safety"]["warm_within"] / 1e6)
+        warm = [relay.client().open(str(number)) for number in range(40)]
+        assert warm == ["UP r"] * 40
