Starts told in Unix time are placed on the relay's clock; hand-over does without file times

Change: net/start_times.py (a start seen to happen sets the clock right, in doubt a backend is young); a watch says when the list is current; the estate carries both clocks' offsets; processes are sorted by their start in /proc. The nonsense in test_handover.py comes by the name of a newer process, to be asked first as before. Left: a relay started on a machine whose clock stands ahead, until it sees the first start.

--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -8,6 +8,7 @@
 from cedarledge.net.config import Address, address_of
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.module import Module
+from cedarledge.net.start_times import StartTimes
 from cedarledge.settings import Indices, mark_of
 from cedarledge.terms import MS, BackendState, Listed, ListForm
 
@@ -31,6 +32,7 @@
         self.heard = False  # of discovery itself, not only what this relay was started with
         self.banned: dict[int, int] = {}  # taken out by operators, and since when
         self.back: dict[int, int] = {}  # put back by them, and when
+        self.start_times = StartTimes(module.clock)
 
     def entry(self, told: Mapping[str, Any]) -> Listed:
         """One entry in the module's terms. Raises KeyError, TypeError or ValueError for what is none."""
@@ -42,7 +44,7 @@
         if standing is BackendState.READY and ep in self.banned:
             standing = BackendState.DRAINING
         # One that was put back was started anew while it was out; the list may learn of that later.
-        started = max(int(told.get("up_since_ms") or 0) * MS, self.back.get(ep, 0))
+        started = max(self.start_of(ep, told), self.back.get(ep, 0))
         return Listed(
             ep,
             int(told.get("cell") or 0),
@@ -54,6 +56,11 @@
             mark_of(told["id"]),
         )
 
+    def start_of(self, backend_id: int, told: Mapping[str, Any]) -> int:
+        """When an entry's backend started, on this relay's clock; 0: long ago. Raises ValueError or
+        TypeError."""
+        return self.start_times.place(backend_id, int(told.get("up_since_ms") or 0) * MS)
+
     def told(self, whole: bool, members: list[dict[str, Any]]) -> None:
         """Raises KeyError, TypeError or ValueError, and then nothing has changed."""
         self.take_in(ListForm.WHOLE if whole else ListForm.CHANGES, members)
@@ -103,7 +110,7 @@
         if since is None:
             return
         told = self.listed.get(ep)
-        if told is None or int(told.get("up_since_ms") or 0) * MS <= since:
+        if told is None or self.start_of(ep, told) <= since:
             self.back[ep] = now
         self._tell_again(ep)
 
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -236,9 +236,10 @@
         chance: Callable[[], float],
         told: Callable[[bool, list], None],
         failed: Callable[[], None],
+        current: Callable[[], None] = lambda: None,
     ) -> None:
         """`pushed`: a lost call is made again here, soon. Else `failed` has others say when, by `start`, up
-        to RETRY_WITHIN."""
+        to RETRY_WITHIN. `current` is called after each answer, also one without news."""
         self._reactor = reactor
         self._deadlines = deadlines
         self._address = address
@@ -248,6 +249,7 @@
         self._chance = chance
         self._told = told
         self._failed = failed
+        self._current = current
         self._link: DiscoveryLink | None = None
         self._call: Deferred | None = None
         self._due: Deadline | None = None
@@ -336,6 +338,7 @@
                 self._told(whole, members)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
             raise HttpError(f"not a list: {why!r}") from why
+        self._current()
         self._deadlines.cancel(self._due)
         self._was_silent = self._was_lost = False
         early = self._deadlines.now() - self._asked_at < self._wait // 2
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -48,6 +48,8 @@
 # No list comes near this; a message past it is not read on.
 LONGEST = 8 << 20
 LONGEST_FOLDER = 60
+# Of the fields of /proc/PID/stat behind the process's name.
+STARTED_AT_FIELD = 19
 
 
 class NotFollowedError(Exception):
@@ -66,6 +68,10 @@
     ids: list[str]
     held: int
     beliefs: dict[str, Any]
+    # How far the old process's clock, by which `banned` and `back` are told, and Unix time as it knew it
+    # stand from the clock that both share. A release that does not tell is taken to have had this one's.
+    clock_offset: int | None = None
+    unix_offset: int | None = None
 
 
 def read_estate(line: bytes) -> Estate:
@@ -100,6 +106,8 @@
     "ids": lambda value: type(value) is list and all(type(name) is str for name in value),
     "held": _is_number,
     "beliefs": lambda value: type(value) is dict,
+    "clock_offset": lambda value: value is None or _is_number(value),
+    "unix_offset": lambda value: value is None or _is_number(value),
 }
 
 
@@ -136,7 +144,7 @@
     served yet."""
     by = time.monotonic() + ANSWER_WITHIN
     paths = set(folder.glob(own_path(folder, name, "*").name)) - {own_path(folder, name)}
-    for path in sorted(paths, key=_made_at, reverse=True):
+    for path in sorted(paths, key=_process_started_at, reverse=True):
         link = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         try:
             return Found(link, *_ask(link, path, name, by))
@@ -148,11 +156,16 @@
     return None
 
 
-def _made_at(path: Path) -> int:
+def _process_started_at(path: Path) -> int:
+    """When the process behind a socket started, in clock ticks since the machine did; 0: it has ended. The
+    file's own time would be by the wall clock, and the older of two processes could seem the newer."""
+    process = path.stem.rpartition("-")[2]
     try:
-        return path.stat().st_mtime_ns
-    except FileNotFoundError:  # its process has just ended
+        status = Path(f"/proc/{process}/stat").read_text()
+    except OSError:
         return 0
+    # The second field is a name in parentheses, and may hold anything.
+    return int(status.rpartition(")")[2].split()[STARTED_AT_FIELD])
 
 
 def _ask(link: socket.socket, path: Path, name: str, by: float) -> tuple[Estate, bytes]:
@@ -295,9 +308,14 @@
         logger.info("handover: goes on alone")
 
     def _follow(self, estate: Estate) -> None:
-        eps = self.boxes.eps
-        self.boxes.banned = {eps[name]: since for name, since in estate.banned.items()}
-        self.boxes.back = {eps[name]: at for name, at in estate.back.items()}
+        eps, shared_now = self.boxes.eps, time.monotonic_ns()
+        own_offset = self.deadlines.now() - shared_now
+        # The wall clock may have been stepped between the starts of the two.
+        shift = 0 if estate.clock_offset is None else own_offset - estate.clock_offset
+        if estate.unix_offset is not None:
+            self.boxes.start_times.follow_unix_offset(estate.unix_offset, shared_now)
+        self.boxes.banned = {eps[name]: since + shift for name, since in estate.banned.items()}
+        self.boxes.back = {eps[name]: at + shift for name, at in estate.back.items()}
         self.boxes.take_in(ListForm.WHOLE, estate.members)
         beliefs.follow(self.boxes.module.balancer, self.boxes.kinds, estate.beliefs, self.deadlines.now())
         self.watching.go_on_from(estate.revision)
@@ -368,9 +386,9 @@
         self.listener.hold_back()
         # The other's word that it has taken over may lie unread where this process was paused.
         self._lease = self.deadlines.after_reading(LEASE, self._lapsed, peer)
-        names = self.boxes.eps.names
+        names, shared_now = self.boxes.eps.names, time.monotonic_ns()
         estate = Estate(
-            time.monotonic_ns() + LEASE,
+            shared_now + LEASE,
             self.watching.revision,
             list(self.boxes.listed.values()),
             {names[ep]: since for ep, since in self.boxes.banned.items()},
@@ -379,6 +397,8 @@
             sorted(self.tunnels.ids),
             self._held(),
             beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.deadlines.now()),
+            self.deadlines.now() - shared_now,
+            self.boxes.start_times.unix_offset(shared_now),
         )
         peer.tell(version=VERSION, estate=estate._asdict())
 
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -115,6 +115,7 @@
                 self.module.chance,
                 self.boxes.told,
                 self.boxes.lost,
+                self.boxes.start_times.list_current,
             )
             self.tunnels = Tunnels(
                 self.means,
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -32,6 +32,7 @@
             return True
 
         module = SimpleNamespace(
+            clock=lambda: ledger.now,
             tell=tell,
             balancer=ledger.balancer,
             knows=lambda aside: ledger.balancer.knows(ledger.now, ExternalView(aside=aside)),
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -44,6 +44,7 @@
             stderr=self.log.open("ab"),
             pass_fds=[self.listening.fileno()],
             env=os.environ
+            | self.environment
             | {
                 "BALANCER_CONFIG": str(self.path),
                 "BALANCER_CONTROL": self.controls[-1],
@@ -281,14 +282,16 @@
                     link.shutdown(socket.SHUT_WR)
                     assert b"estate" not in link.makefile("rb").read()
             assert relay.client().say("PING") == "PONG" and relay.ready()
-        # A left-over file of no process, and one that talks nonsense.
+        # A left-over file of no process, and one that talks nonsense by the name of a process that is newer
+        # than the relay's, which is asked first.
         (relay.folder / path.name.replace(str(relay.process.pid), "1")).touch()
-        with closing(socket.socket(socket.AF_UNIX)) as liar:
-            with reachable(relay.folder / path.name.replace(str(relay.process.pid), "2")) as name:
+        with closing(socket.socket(socket.AF_UNIX)) as liar, subprocess.Popen(["sleep", "60"]) as newer:
+            with reachable(relay.folder / path.name.replace(str(relay.process.pid), str(newer.pid))) as name:
                 liar.bind(name)
             liar.listen()
             threading.Thread(target=answer_nonsense, args=(liar,), daemon=True).start()
             assert relay.next() < 6
+            newer.kill()
         assert relay.said("not an estate") and relay.said("takes over")
 
 
@@ -354,6 +357,8 @@
         {"ids": [2]},
         {"held": None},
         {"beliefs": []},
+        {"clock_offset": 0.5},
+        {"unix_offset": "1"},
         {"more": 1},
     ):
         with raises(NotFollowedError):
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -2,15 +2,20 @@
 
 from __future__ import annotations
 
+import os
 import signal
+import socket
 import time
 from collections.abc import Iterator
 from pathlib import Path
 
 from helpers import MS, SECOND, SETTINGS, Backend, Client, Program, until
 from pytest import fixture, mark
+from test_handover import Pair, connect_to, pair
 
 from cedarledge.faults.wall_clock import WallClock
+from cedarledge.net.handover import VERSION, line_of, own_path
+from cedarledge.net.start_times import StartTimes
 
 HOUR = 3600 * SECOND
 # Each is a series: a step, then the next a little later.
@@ -189,6 +194,74 @@
         assert time.monotonic() - began < 0.1 + 1.5 + 0.7
 
 
+# -- one process after the other ---------------------------------------------------------------------
+
+
+class SteppedPair(Pair):
+    """Processes of one relay, one after the other, by one wall clock."""
+
+    def __init__(self, tmp: Path, backends: list[Backend], clock: WallClock) -> None:
+        self.environment = clock.environment()
+        super().__init__(tmp, backends)
+
+
+@series
+def test_who_asks_and_does_not_take_over_loses_its_lease_in_time(
+    tmp_path: Path, clock: WallClock, steps: tuple[int, ...]
+) -> None:
+    with SteppedPair(tmp_path, [Backend("a")], clock) as relay, socket.socket(socket.AF_UNIX) as asks:
+        connect_to(asks, own_path(relay.folder, "n0", relay.process.pid))
+        asks.sendall(line_of(version=VERSION, name="n0"))
+        assert asks.recv(1)
+        began = time.monotonic()
+        for by in steps:
+            clock.step(by)
+        assert relay.client().open() == "UP r", "waits in the queue for as long as the lease"
+        assert time.monotonic() - began < 1.5 + SLACK
+
+
+@series
+def test_processes_take_over_one_after_the_other(
+    tmp_path: Path, clock: WallClock, steps: tuple[int, ...]
+) -> None:
+    backend = Backend("a")
+    with SteppedPair(tmp_path, [backend], clock) as relay:
+        held = relay.client()
+        assert held.open() == "UP r"
+        for by in steps:
+            clock.step(by)
+            assert relay.next() < 6
+            assert relay.client().open() == "UP r"
+            before = relay.processes[-2]
+            before.terminate()
+            clock.step(-by)
+            clock.step(by)
+            assert before.wait(8) == 0
+        assert held.hear() == "MOVE"
+        assert relay.log.read_text().count("goes on alone") == 1, (
+            "the first process, which has none before it"
+        )
+
+
+def test_the_newest_process_is_asked_whatever_the_times_of_the_sockets_say(tmp_path: Path) -> None:
+    """As a step back between the starts of the two leaves them."""
+    with pair(tmp_path, Backend("a")) as relay:
+        assert relay.next() < 6
+        os.utime(own_path(relay.folder, "n0", relay.processes[1].pid), (1, 1))
+        assert relay.next() < 6
+        assert not relay.said("asked again"), "the oldest was asked, which has handed over already"
+
+
+def test_what_one_process_knew_of_unix_time_goes_over_to_the_next() -> None:
+    shared, told = 77 * SECOND, 1000 * HOUR
+    old = StartTimes(lambda: told + HOUR)
+    old.correction = HOUR + 2 * SECOND
+    new = StartTimes(lambda: told - 5 * HOUR)
+    new.follow_unix_offset(old.unix_offset(shared), shared)
+    age = old._clock() - old.place(1, told - 10 * SECOND)
+    assert new._clock() - new.place(1, told - 10 * SECOND) == age
+
+
 # -- starts of backends, which are told in Unix time -------------------------------------------------
 
 
@@ -208,3 +281,54 @@
         time.sleep(SETTINGS["safety"]["warm_within"] / 1e6)
         warm = [relay.client().open(str(number)) for number in range(40)]
         assert warm == ["UP r"] * 40
+
+
+class SeenStarts:
+    """A registry's start times by a clock that the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 1000 * HOUR
+        self.times = StartTimes(lambda: self.now)
+
+    def pass_time(self, span: int) -> None:
+        """Lets time pass up to the next answer of discovery, which says nothing of starts."""
+        self.now += span
+        self.times.list_current()
+
+
+def test_starts_are_taken_as_told_where_the_clocks_agree() -> None:
+    seen = SeenStarts()
+    assert seen.times.place(0, 0) == 0, "long ago"
+    assert seen.times.place(1, seen.now - HOUR) == seen.now - HOUR, "before the first list"
+    seen.pass_time(3 * SECOND)
+    assert seen.times.place(2, seen.now - SECOND) == seen.now - SECOND
+    assert seen.times.place(1, seen.now - 3 * SECOND - HOUR) == seen.now - 3 * SECOND - HOUR
+    seen.pass_time(8 * SECOND)
+    told = seen.now - 5 * SECOND
+    assert seen.times.place(3, told) == told, "listed late, as discovery may"
+
+
+@mark.parametrize("ahead", [HOUR, 20 * SECOND, -HOUR, -SECOND // 5])
+def test_a_start_that_is_seen_sets_a_wrong_clock_right(ahead: int) -> None:
+    seen = SeenStarts()
+    seen.pass_time(3 * SECOND)
+    seen.pass_time(3 * SECOND)
+    true_start = seen.now - SECOND
+    placed = seen.times.place(1, true_start - ahead)
+    assert true_start <= placed <= seen.now, "cold for no shorter than it is"
+    seen.pass_time(10 * SECOND)
+    assert seen.times.place(1, true_start - ahead) == placed, "one start stays where it is"
+    true_start = seen.now - 2 * SECOND
+    assert true_start <= seen.times.place(2, true_start - ahead) <= seen.now
+    seen.pass_time(HOUR)
+    assert seen.times.place(3, seen.now - SECOND - ahead) <= seen.now
+
+
+def test_a_backend_that_is_listed_long_after_its_start_makes_others_cold_once_at_most() -> None:
+    seen = SeenStarts()
+    seen.pass_time(SECOND)
+    seen.times.place(1, seen.now - HOUR)
+    for backend_id in (2, 3):
+        seen.pass_time(SECOND)
+        told = seen.now - SECOND // 2
+        assert told <= seen.times.place(backend_id, told) <= seen.now
