One guard for attempts, rejections and answers; violations are counted; the log has each request's story

Cause: when the rule lost broke nothing in the relay noticed, and its log had no ids: a connection was held on a silent backend for 11 s with every deadline overdue. What forbids an attempt stood in the policy alone. Change: request_guard.py refuses and counts an attempt, rejection or answer that breaks a rule, by what was done for the request; audit.py looks each second for overdue requests, connections held on silent backends and steps of the wall clock, and writes the counts; a deadline whose call does not come is counted and called; failed, rejected and silent requests are logged with id, attempts and outcomes. test_customers.py advances in 50 ms, since in 250 ms each answer came late by its own steps; test_tunnels.py asserts that nothing broke.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -8,6 +8,7 @@
 from twisted.internet.interfaces import IAddress
 
 from cedarledge.net.doors import Door
+from cedarledge.net.invariants import Invariant
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
 from cedarledge.net.seams import Taker
@@ -105,6 +106,7 @@
         self.listener = listener
         self.tun = -1
         self.is_open = False
+        self.owes_answer = False  # a whole request was read, and no word of an answer said
 
     def came_up(self) -> None:
         self.listener.lives(self)
@@ -142,6 +144,7 @@
             return
         self.nothing_due()
         self.listener.keep(self)
+        self.owes_answer = True
         self.tun = self.taker.arrived(self, opening)
 
     def turn_out(self) -> None:
@@ -153,6 +156,7 @@
         self.fail()
 
     def peer_ended(self, abrupt: bool) -> None:
+        self.owes_answer = False  # there is nobody to have it
         if self.tun >= 0:
             self.taker.client_ended(self.tun, abrupt)
 
@@ -162,20 +166,25 @@
     def _gone(self) -> None:
         super()._gone()
         self.listener.gone(self)
+        if self.owes_answer:
+            self.means.invariants.broken(Invariant.CLOSED_UNANSWERED, f"tunnel {self.tun}")
 
     # -- the answers, each the last but opened ---------------------------------------------------
 
     def opened(self, line: bytes) -> None:
         self.is_open = True
+        self.owes_answer = False
         # To the system at once: its backend may reset the connection in the same turn of the reactor, and
         # what still waited here would go with it.
         self.send_lines([line])
 
     def decline(self, come_back: int) -> None:
+        self.owes_answer = False
         self.send_line(b"BUSY %d" % (come_back // MS) if come_back >= MS else b"BUSY")
         self.finish()
 
     def fail(self) -> None:
+        self.owes_answer = False
         self.send_line(b"ERR")
         self.finish()
 
--- a/cedarledge/net/complaints.py
+++ b/cedarledge/net/complaints.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from cedarledge.net.deadlines import Deadlines
@@ -17,12 +19,13 @@
         self._deadlines = deadlines
         self._counts: dict[str, int] = {}
 
-    def about(self, peer: str, why: str) -> None:
+    def about(self, peer: str, why: str | Callable[[], str]) -> None:
+        """`why` may be a call that gives the text, made only where a line is written."""
         count = self._counts[peer] = self._counts.get(peer, 0) + 1
         if count == 1:
             self._deadlines.after(SPAN, self._sum_up, peer)
         if count <= MOST:
-            logger.warning("{}: {}", peer, why)
+            logger.warning("{}: {}", peer, why if isinstance(why, str) else why())
 
     def _sum_up(self, peer: str) -> None:
         more = self._counts.pop(peer) - MOST
--- a/cedarledge/net/deadlines.py
+++ b/cedarledge/net/deadlines.py
@@ -16,6 +16,8 @@
 # A call found due this much too late says as much of this process as of the peer that it waits for; and how
 # long it is put off then, which is one turn of the reactor at least.
 LATE, LOOK_AGAIN = 10 * MS, MS
+# A call this long overdue while others are set did not come, whatever the reactor was asked for.
+STUCK = SECOND
 
 
 def steady_clock() -> Callable[[], int]:
@@ -50,6 +52,8 @@
         self._cancelled = 0
         self._armed: IDelayedCall | None = None
         self._armed_at = 0
+        self._is_suspect = False
+        self.stuck: Callable[[int], None] = lambda late: None  # told how late the first is, ns
 
     def __len__(self) -> int:
         """How many are to come, the cancelled ones left out."""
@@ -60,12 +64,26 @@
         return self._clock()
 
     def after(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
-        deadline = Deadline(self._clock() + max(0, delay), next(self._orders), call, args)
+        now = self._clock()
+        deadline = Deadline(now + max(0, delay), next(self._orders), call, args)
         heappush(self._heap, deadline)
         if self._heap[0] is deadline:
             self._arm()
+        elif now - self._armed_at > STUCK and not self._is_suspect and self._armed is not None:
+            # Where this process was paused it comes before the call that is asked for now.
+            self._is_suspect = True
+            self._reactor.callLater(0, self._check_stuck, self._armed)
         return deadline
 
+    def _check_stuck(self, armed: IDelayedCall) -> None:
+        """A first deadline whose call does not come would hold up all others: it is asked for anew."""
+        self._is_suspect = False
+        if self._armed is armed:
+            self.stuck(self._clock() - self._armed_at)
+            armed.cancel()
+            self._armed = None
+            self._arm()
+
     def after_reading(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
         """As after, for what gives up waiting for a peer. Where this process itself was late, paused or
         busy, the peer's answer may have come meanwhile and lie unread: the reactor looks at deadlines first.
--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -109,6 +109,10 @@
     def is_asked(self) -> bool:
         return self._asked_at > 0
 
+    def silent_for(self, now: int) -> int:
+        """How long its oldest line has had no answer, ns; 0: all were answered."""
+        return now - self._asked_at if self._asked_at else 0
+
     def asked(self) -> None:
         if not self._asked_at:
             self._asked_at = self._echoes.clock()
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -15,6 +15,7 @@
 from cedarledge.net.buffers import NoBufferError, Pool
 from cedarledge.net.complaints import Complaints
 from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import END, LONGEST, Lines, OverlongError
 from cedarledge.net.slots import Slots
 from cedarledge.terms import SECOND
@@ -34,6 +35,7 @@
     pool: Pool
     links: Slots[Link]
     complaints: Complaints
+    invariants: Invariants
 
 
 @implementer(IHalfCloseableProtocol)
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -14,6 +14,7 @@
 from twisted.internet.error import CannotListenError
 
 from cedarledge.net import signals
+from cedarledge.net.audit import Audit
 from cedarledge.net.backends import Backends
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.buffers import Pool
@@ -24,6 +25,7 @@
 from cedarledge.net.discovery import Watch
 from cedarledge.net.echoes import Delays, Echoes
 from cedarledge.net.hearers import Hearers
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE
 from cedarledge.net.links import Means
 from cedarledge.net.logs import begin_logging, log_to_stderr
@@ -86,6 +88,7 @@
             Pool(BUFFER_SIZE, most),
             Slots(most),
             Complaints(self.deadlines),
+            Invariants(),
         )
         self.hearers = Hearers(self.clock, self.deadlines)
         self.module = Module(self.clock, self.deadlines)
@@ -127,6 +130,7 @@
                 tenants,
                 waits,
                 connect_within,
+                facts.profiles,
             )
             goals = [row.setup_goal for row in facts.profiles]
             self.backends = Backends(
@@ -153,6 +157,7 @@
         self.service = Service(
             self.deadlines, self.module, self.boxes, self.tunnels, self.backends, self.front
         )
+        self.audit = Audit(self.deadlines, self.tunnels, self.means.invariants)
         self.handover: Handover | None = None
         self.ended = False
         self.listeners: list[Hearer] = []
@@ -185,6 +190,7 @@
         if self.handover is not None:
             self.handover.take_over()
         self.front.open(orders.listen, orders.inherited)
+        self.audit.start()
         self.service.opened = True
         if self.handover is not None:
             self.handover.listen()
@@ -284,6 +290,7 @@
             return
         self.ended = True
         logger.info("ends, {} connections held", self.means.links.used - len(self.backends.probes))
+        self.audit.end()
         self.watching.let_go()
         if self.handover is not None:
             self.handover.end()
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 
 from loguru import logger
@@ -14,10 +15,11 @@
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Means
 from cedarledge.net.module import Module
+from cedarledge.net.request_guard import RequestGuard, RequestLog
 from cedarledge.net.seams import ClientEnd
 from cedarledge.net.slots import FullError, Slots
 from cedarledge.policy.estimators import DecayingSum
-from cedarledge.terms import MS, SECOND, LoadReport, Outcome
+from cedarledge.terms import MS, SECOND, LoadReport, Outcome, ProfileRow
 
 # A client that would wait for so many times its profile's client timeout is none of ours.
 LONGER = 2
@@ -28,12 +30,26 @@
 UNKNOWN_FOR = 2 * SECOND
 # Clients that came from another relay of late, by a sum that fades within seconds.
 LATELY = 4 * SECOND
+# What is counted, as the log calls it.
+COUNTED = ("taken", "opened", "rejected", "failed", "moved", "silent", "left")
 
 
 class Tunnel:
     """A client's request and what it holds; its slot is given back in Tunnels._free."""
 
-    __slots__ = ("began", "client", "echo", "known", "opening", "over", "profile", "setup", "tenant", "up")
+    __slots__ = (
+        "began",
+        "client",
+        "echo",
+        "known",
+        "opening",
+        "over",
+        "profile",
+        "request",
+        "setup",
+        "tenant",
+        "up",
+    )
 
     def __init__(
         self, client: ClientEnd, opening: Opening, profile: int, tenant: int | None, began: int
@@ -43,6 +59,7 @@
         self.profile = profile
         self.tenant = tenant
         self.began = began
+        self.request = RequestLog(opening.id, profile, began + opening.wait if opening.at is None else 0)
         self.setup: SetupLink | None = None
         self.echo: Echo | None = None
         self.known = False  # to the decision module
@@ -67,8 +84,10 @@
         tenants: Mapping[str, int],
         waits: Sequence[int],
         connect_within: int,
+        classes: Sequence[ProfileRow] = (),
     ) -> None:
         self.means = means
+        self.guard = RequestGuard(means.invariants, means.clock, classes, boxes.listed, boxes.eps.names)
         self.clock = means.clock
         self.deadlines = means.deadlines
         self.module = module
@@ -81,6 +100,7 @@
         self.tenants = tenants
         self.waits = waits
         self.connect_within = connect_within
+        self._counts: Counter[str] = Counter()
         self.begun = False  # somebody has come who was not open before the run
         # Clients that came back here less those that were sent away from here: more come than go while
         # another relay is down, and about as many where a backend is.
@@ -90,27 +110,46 @@
         self.backends = backends
         self.echoes = echoes
 
+    def counts(self) -> str:
+        """What became of all requests so far, for the log."""
+        return ", ".join(f"{self._counts[name]} {name}" for name in COUNTED)
+
     # -- what the module has done ------------------------------------------------------------------
 
     def send(self, tun: int, ep: int, timeout: int) -> None:
+        if not self.guard.may_attempt(self.table.get(tun).request, ep, ep in self.boxes.ready):
+            self._not_sent(tun, ep)
+            return
         self._set_up(tun, ep, timeout, self.connect_within)
         self.hearers.tell("set_up", tun, ep, timeout)
 
+    def _not_sent(self, tun: int, ep: int) -> None:
+        """Tells the module once it is through with what it does now."""
+        self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+
     def _set_up(self, tun: int, ep: int, timeout: int, connect_within: int) -> None:
         tunnel = self.table.get(tun)
+        self.guard.attempt(tunnel.request, ep)
         try:
             tunnel.setup = self.backends.set_up(
                 tun, ep, self.boxes.addresses[ep], tunnel.opening.head, timeout, connect_within
             )
         except FullError:
-            self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+            self._not_sent(tun, ep)
 
     def decline(self, tun: int, come_back: int) -> None:
-        self.table.get(tun).client.decline(come_back)
+        tunnel = self.table.get(tun)
+        if not self.guard.may_reject(tunnel.request):
+            self.close_with_error(tun)
+            return
+        tunnel.client.decline(come_back)
+        self.means.complaints.about("rejected", lambda: self.guard.story(tunnel.request))
         self._answered(tun, True)
 
     def close_with_error(self, tun: int) -> None:
-        self.table.get(tun).client.fail()
+        tunnel = self.table.get(tun)
+        tunnel.client.fail()
+        self.means.complaints.about("failed", lambda: self.guard.story(tunnel.request))
         self._answered(tun, False)
 
     def move(self, tun: int) -> None:
@@ -120,7 +159,9 @@
         setup = tunnel.setup
         logger.debug("tunnel {} is moved off {}", tun, self.boxes.eps.names[setup.ep])
         self.refugees.add(self.clock(), -1)
+        self._counts["moved"] += 1
         self._part(tunnel)
+        tunnel.request.attempt_ended(Outcome.CANCELLED)
         tunnel.client.move()
         setup.call_off()
         self.hearers.tell("moved", tun, setup.ep)
@@ -151,6 +192,7 @@
             client.decline(0)
             return -1
         self.ids.add(opening.id)
+        self._counts["taken"] += 1
         self.hearers.tell("arrived", tun, profile, opening.returning)
         if opening.at is not None:
             self._adopt(tun)
@@ -184,13 +226,15 @@
         if tunnel is None or tunnel.over:
             return
         setup, was_up = tunnel.setup, tunnel.up
+        self._counts["left"] += 1
         self._part(tunnel)
         if tunnel.known and not was_up:
             self.module.tell(self.module.balancer.client_gone, tun)
         if setup is not None:
             setup.call_off(abrupt)
+            outcome = Outcome.CANCELLED if setup.written else Outcome.NOT_SENT
+            tunnel.request.attempt_ended(outcome)
             if tunnel.known:
-                outcome = Outcome.CANCELLED if setup.written else Outcome.NOT_SENT
                 self.module.tell(
                     self.module.balancer.setup_ended,
                     tun,
@@ -251,6 +295,8 @@
             "tunnel {} at {}: up after {} ms", tun, self.boxes.eps.names[tunnel.setup.ep], took // MS
         )
         tunnel.up = True
+        self._counts["opened"] += 1
+        self.guard.answered(tunnel.request, "UP")
         setup, client = tunnel.setup, tunnel.client
         tunnel.echo = Echo(self.echoes, tun, setup.ep)
         client.opened(line)
@@ -307,6 +353,7 @@
             tunnel.up,
         )
         was_open = tunnel.up
+        tunnel.request.attempt_ended(outcome)
         self._part(tunnel, over=was_open)
         self.hearers.tell("setup_over", tun, ep, outcome, took, was_open)
         if was_open:
@@ -334,7 +381,9 @@
         self.move(tun)
 
     def silent(self, tun: int) -> None:
-        logger.info("tunnel {} is silent", tun)
+        tunnel = self.table.get(tun)
+        self._counts["silent"] += 1
+        logger.info("silent: {}", self.guard.story(tunnel.request))
         self.module.tell(self.module.balancer.silent, tun)
 
     # -- the end of a tunnel -----------------------------------------------------------------------
@@ -353,6 +402,8 @@
     def _answered(self, tun: int, declined: bool) -> None:
         """The final answer is out. The module gives it only when no setup is."""
         tunnel = self.table.get(tun)
+        self._counts["rejected" if declined else "failed"] += 1
+        self.guard.answered(tunnel.request, "BUSY" if declined else "ERR")
         self._part(tunnel)
         self.hearers.tell("answered", tun, declined, self.clock() - tunnel.began)
         self._free(tun)
@@ -361,6 +412,7 @@
         """The module failed on this tunnel: its client still gets an answer."""
         tunnel = self.table.get(tun)
         if tunnel is not None and not tunnel.over:
+            self.guard.answered(tunnel.request, "ERR")
             self.client_ended(tun, abrupt=False)
             tunnel.client.fail()
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -44,6 +44,7 @@
 from cedarledge.net.control import WHOLE_WITHIN
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.handover import HEARD_WITHIN, Handover
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.links import LINGER, Link, Means
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
@@ -532,7 +533,7 @@
         return round(clock.seconds() * SECOND)
 
     deadlines = Deadlines(clock, now)
-    link = Link(Means(clock, now, deadlines, Pool(9, 1), Slots(1), Complaints(deadlines)))
+    link = Link(Means(clock, now, deadlines, Pool(9, 1), Slots(1), Complaints(deadlines), Invariants()))
     link.transport = Wire()
     link.connectionMade()
     link.finish()
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -109,7 +109,8 @@
         ]
         clients = []
         for number in range(ROUNDS):
-            reactor.advance(0.25)
+            # In steps shorter than the grace of an answer: with longer ones each would come late.
+            reactor.pump([0.05] * 5)
             for ep, load in enumerate(LOADS):
                 relay.probe_over(ep, True, LoadReport(asked=load))
             clients.append(Client())
@@ -119,8 +120,7 @@
                 read_opening(f"OPEN i{number} k{number} c={name},d={wait},g=g{number % 3}".encode()),
             )
         relay.stop()
-        for _ in range(30):
-            reactor.advance(0.2)
+        reactor.pump([0.05] * 120)
     finally:
         logger.remove(heard)
     assert not faults
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,6 +25,7 @@
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.discovery import HttpError, HttpReader
 from cedarledge.net.echoes import SILENT, Delays, Echo, Echoes
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE, LONGEST, Lines, OverlongError
 from cedarledge.net.links import Means
 from cedarledge.net.paces import Paces
@@ -207,7 +208,9 @@
         return round(reactor.seconds() * SECOND)
 
     deadlines = Deadlines(reactor, now)
-    means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
+    means = Means(
+        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    )
     watcher = SimpleNamespace(
         may_send=lambda *_: True,
         client_waits=lambda _: 2 * SECOND,
@@ -276,7 +279,9 @@
         return round(reactor.seconds() * SECOND)
 
     deadlines = Deadlines(reactor, now)
-    means = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
+    means = Means(
+        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    )
     backends = Backends(
         means,
         SimpleNamespace(),
--- a/tests/test_terms_limits.py
+++ b/tests/test_terms_limits.py
@@ -30,6 +30,7 @@
 from cedarledge.net.buffers import Pool
 from cedarledge.net.complaints import Complaints
 from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE
 from cedarledge.net.links import Means
 from cedarledge.net.slots import Slots
@@ -148,7 +149,9 @@
         return round(reactor.seconds() * SECOND)
 
     deadlines = Deadlines(reactor, now)
-    context = Means(reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines))
+    context = Means(
+        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    )
     slow = SimpleNamespace(slower=lambda *_: 2.0)
     backends = Backends(
         context,
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -16,6 +16,7 @@
 from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.echoes import Delays, Echoes
 from cedarledge.net.hearers import Hearers
+from cedarledge.net.invariants import Invariants
 from cedarledge.net.links import Means
 from cedarledge.net.module import Module
 from cedarledge.net.seams import Hearer
@@ -104,14 +105,26 @@
     def __init__(self, broken: bool = False) -> None:
         self.reactor = Clock()
         deadlines = Deadlines(self.reactor, self.now)
-        means = Means(self.reactor, self.now, deadlines, Pool(4097, 50), Slots(50), Complaints(deadlines))
+        means = Means(
+            self.reactor, self.now, deadlines, Pool(4097, 50), Slots(50), Complaints(deadlines), Invariants()
+        )
+        self.invariants = means.invariants
         hearers = Hearers(self.now, deadlines)
         hearers.add(Ear())
         self.module = Module(self.now, deadlines)
         self.boxes = BoxList(self.module, hearers, {})
         profiles = {"a": 0, "b": 1, "c": 2}
         self.tunnels = Tunnels(
-            means, self.module, self.boxes, hearers, MOST, profiles, {}, [SECOND] * 3, 150 * MS
+            means,
+            self.module,
+            self.boxes,
+            hearers,
+            MOST,
+            profiles,
+            {},
+            [SECOND] * 3,
+            150 * MS,
+            facts().profiles,
         )
         self.tunnels.join(
             self, Echoes(self.now, deadlines, Delays(self.now, 0, lambda *_: None), self.tunnels.silent)
@@ -278,6 +291,7 @@
     scene.reactor.advance(0.01)
     assert scene.tunnels.table.used == 0, "every slot is back"
     assert not scene.tunnels.ids
+    assert not scene.invariants.counts
     if not broken:
         state = scene.module.balancer.state
         assert not (state.connections or state.waiting or state.in_flight), (
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -48,6 +48,10 @@
             self.clock.step(by)
             time.sleep(BETWEEN_STEPS)
 
+    def __exit__(self, *unused: object) -> None:
+        super().__exit__(*unused)
+        assert "invariant broken" not in self.log.read_text()
+
 
 @fixture
 def clock(tmp_path: Path) -> Iterator[WallClock]:
@@ -82,6 +86,7 @@
         client.link.sendall(b"M 0\r\n")
         relay.step(steps)
         assert seconds_until(client, "MOVE") < 3 + SLACK
+        assert "the wall clock was stepped" in relay.log.read_text()
 
 
 @series
