--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -298,6 +298,35 @@
         )
 
 
+@rig.command()
+@click.option("--seeds", default="1-5", show_default=True, help="A span like 1-50.")
+@click.option("--relays", type=click.IntRange(1, MOST_RELAYS), help="In place of what is drawn.")
+@click.option("--seconds", type=click.FloatRange(12, 120), help="Length of each run.")
+@click.option("--jobs", type=click.IntRange(1, 64), default=1, show_default=True, help="Runs side by side.")
+@click.option("--keep", type=click.Path(file_okay=False), required=True, help="Folder for what each leaves.")
+@click.option("--json", "out", type=click.Path(dir_okay=False), help="Write the results there.")
+def soak(
+    seeds: str, relays: int | None, seconds: float | None, jobs: int, keep: str, out: str | None
+) -> None:
+    """Play random, overlapping faults on a few dozen processes, judged by the rules and by the relays' own
+    invariants."""
+    from cedarledge.rig.soak import SoakResult, soak_all
+
+    def done(result: SoakResult) -> None:
+        word = "holds" if result.holds else result.problem or f"BROKEN {result.rules | result.invariants}"
+        click.echo(f"seed {result.seed}: {result.connections} connections, {word}")
+        for finding in result.findings:
+            click.echo(f"  {finding}")
+
+    results = soak_all(seeds_of(seeds), jobs, Path(keep), done, relays, seconds)
+    if out:
+        Path(out).write_bytes(msgspec.json.format(msgspec.json.encode(results), indent=1))
+    held = sum(result.holds for result in results)
+    unplayed = sum(bool(result.problem) for result in results)
+    click.echo(f"{held} of {len(results)} seeds hold, {unplayed} could not be played")
+    sys.exit(0 if held == len(results) else LATE if held + unplayed == len(results) else BROKEN)
+
+
 @main.command()
 @click.option("--seconds", type=click.FloatRange(12, 120), default=20.0, show_default=True)
 @click.option("--seed", type=click.IntRange(0), default=1, show_default=True)
--- a/cedarledge/faults/wall_clock.py
+++ b/cedarledge/faults/wall_clock.py
@@ -3,41 +3,12 @@
 from __future__ import annotations
 
 import os
-import shutil
 import struct
-import subprocess
 from pathlib import Path
 
-SOURCE = Path(__file__).with_name("wall_clock.c")
-OFFSET = struct.Struct("=q")
-
-
-class NoCompilerError(Exception):
-    """The preload library can't be built on this machine."""
+from cedarledge.faults.preload import PRELOAD, build
 
-
-def build(folder: Path) -> Path:
-    """Compiles the preload library into a folder and gives its path. Raises NoCompilerError."""
-    compiler = shutil.which("cc")
-    if compiler is None:
-        raise NoCompilerError("the preload library needs a C compiler, cc, on the PATH")
-    library = folder / "wall_clock.so"
-    command = [
-        compiler,
-        "-shared",
-        "-fPIC",
-        "-O2",
-        "-Wall",
-        "-Werror",
-        str(SOURCE),
-        "-o",
-        str(library),
-        "-ldl",
-    ]
-    built = subprocess.run(command, capture_output=True, text=True, check=False)
-    if built.returncode:
-        raise NoCompilerError(f"the preload library does not compile: {built.stderr.strip()}")
-    return library
+OFFSET = struct.Struct("=q")
 
 
 class WallClock:
@@ -45,14 +16,14 @@
 
     def __init__(self, folder: Path) -> None:
         """Keeps its library and its offset in the folder, which has to outlive those processes."""
-        self._library = build(folder)
+        self._library = build("wall_clock", folder)
         self._path = folder / "wall_clock.offset"
         self._path.write_bytes(OFFSET.pack(0))
         self._file = os.open(self._path, os.O_RDWR | os.O_CLOEXEC)
 
     def environment(self) -> dict[str, str]:
         """What a process has to be started with to have this clock."""
-        return {"LD_PRELOAD": str(self._library), "CEDARLEDGE_WALL_CLOCK": str(self._path)}
+        return {PRELOAD: str(self._library), "CEDARLEDGE_WALL_CLOCK": str(self._path)}
 
     @property
     def offset(self) -> int:
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -19,6 +19,7 @@
 import msgspec
 from twisted.internet.protocol import ProcessProtocol
 
+from cedarledge.faults.wall_clock import WallClock
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.reactor import install_reactor
 from cedarledge.rig.variants import Variant
@@ -166,6 +167,15 @@
             with contextlib.suppress(Exception):
                 self.transport.signalProcess(sign)
 
+    def signal_again(self) -> None:
+        """One more of a series: SIGHUP, and SIGTERM where it was told to end. One that is only starting could
+        not have been told to before."""
+        if self.over or self.ready is None:
+            return
+        for sign in ("HUP", "TERM") if self.how == "stopped" else ("HUP",):
+            with contextlib.suppress(Exception):
+                self.transport.signalProcess(sign)
+
     def stop(self) -> None:
         """A planned end; a relay that takes too long over it is killed, and that counts as a crash."""
         self.restarts = True
@@ -226,6 +236,9 @@
         self.workers: list[WorkerProcess] = []
         self.relays: dict[int, RelayProcess] = {}
         self.failure: RunError | None = None
+        # Relays whose wall clocks are stepped have one of their own, which outlives their processes.
+        stepped = {act.which for act in plan.acts if act.who == "relay" and act.what == "step"}
+        self.clocks = {relay: WallClock(self._clock_folder(relay)) for relay in sorted(stepped)}
         for role, count in parts.items():
             for part in range(count):
                 book = folder / f"{role}-{part}.book"
@@ -237,6 +250,11 @@
                     )
                 )
 
+    def _clock_folder(self, relay: int) -> Path:
+        folder = self.folder / f"clock-{relay}"
+        folder.mkdir(exist_ok=True)
+        return folder
+
     def now(self) -> int:
         return time.monotonic_ns() - self.begin
 
@@ -279,6 +297,8 @@
         )
         process = self.relays[relay] = RelayProcess(self, relay, self.folder / f"relay-{relay}.log")
         env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_NAME": name} | self.variant.env
+        if relay in self.clocks:
+            env |= self.clocks[relay].environment()
         command = self.variant.command
         if self.plan.operator and self.variant.takes_file:
             command = [*command, "relay", "--file", self._operator_file(relay)]
@@ -323,6 +343,10 @@
             process.end("killed", "KILL")
         elif act.what == "stop":
             process.stop()
+        elif act.what == "step":
+            self.clocks[act.which].step(int(act.size))
+        elif act.what == "signal":
+            process.signal_again()
         elif act.what in ("pause", "resume"):
             if not process.over:
                 process.transport.signalProcess(signal.SIGSTOP if act.what == "pause" else signal.SIGCONT)
@@ -405,6 +429,8 @@
         signal.signal(signal.SIGINT, previous)
         run.book.close()
         run.lock.close()
+        for clock in run.clocks.values():
+            clock.close()
         if run.failure is not None:
             raise run.failure
         return Judge(plan, read_books(run.books)).verdict()
--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -55,6 +55,8 @@
     "way_rate",
     "way_stall",
     "way_unread",
+    "clock_step",
+    "signals",
 ]
 # Kinds whose boxes come back from nothing.
 RESTARTS = frozenset(("crash", "drain", "elsewhere"))
--- a/cedarledge/rig/schedule.py
+++ b/cedarledge/rig/schedule.py
@@ -24,6 +24,8 @@
 COMING = 300
 
 
+# How far apart steps of a wall clock and signals in a series are, where a fault does not say.
+STEPS_APART, SIGNALS_APART = 1.0, 0.1
 # A process that died is started again this much later, where that is at once.
 AT_ONCE = 0.2
 
@@ -383,6 +385,27 @@
             self._act(fault.start, "relay", "pause", relay)
             self._act(fault.start + fault.length, "relay", "resume", relay)
 
+    def _clock_step(self, fault: Fault) -> None:
+        """The wall clocks of relays' machines are stepped by `size`, forward or back, each `period`."""
+        for relay in self._relays(fault.share):
+            for at in self._series(fault, STEPS_APART):
+                size = self._size(fault) * self.chance.choice((-1, 1))
+                self._act(at, "relay", "step", relay, float(ns(size)))
+
+    def _signals(self, fault: Fault) -> None:
+        """SIGHUP in a series, and SIGTERM again for those that were told to end."""
+        for relay in self._relays(fault.share):
+            for at in self._series(fault, SIGNALS_APART):
+                self._act(at, "relay", "signal", relay)
+
+    def _series(self, fault: Fault, apart: float) -> list[float]:
+        """Times within a fault, about a period apart."""
+        period = fault.period or apart
+        times = [fault.start]
+        while times[-1] + period < fault.start + fault.length:
+            times.append(times[-1] + period * self.chance.uniform(0.5, 1.5))
+        return times
+
     def _die_again(self, fault: Fault) -> None:
         """Killed, started at once, killed again in the middle of what it does then, `size` times."""
         for relay in self._relays(fault.share):
--- a/cedarledge/standins/discovery.py
+++ b/cedarledge/standins/discovery.py
@@ -194,8 +194,10 @@
         }
 
     def known(self, relay: int) -> dict[str, Any]:
-        """The list as the rig hands it to a relay at its start."""
+        """The list as the rig hands it to a relay at its start, which counts as told like any."""
         self.heard[relay] = self.revision
+        for box in {box for _, box in self.history if self.phases[box] != "removed"}:
+            self.book.write(Told(self.now(), relay, box, self.phases[box], self.revision))
         return {
             "revision": self.revision,
             "complete": True,
