A failure of the machine that passes no longer ends a connection; relays end at once when they are done

Twisted takes ENOMEM of recv and send for the connection's end and leaves one unwatched whose epoll registration failed; send_lines dropped an UP on ENOBUFS; a connect for which no socket or port was to be had ejected the backend. Seen by the soak: a relay was killed 0.5 s after its last line while the interpreter was taken apart.

--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -60,6 +60,14 @@
         return CAN_NOT_START
 
 
+def end_process(code: int) -> None:
+    """Ends this process at once. Taking the interpreter apart takes longer than a relay may have left, which
+    is killed a little after its end is due."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
+
+
 def main() -> int:
     if sys.argv[1:2] in ([], ["relay"]):
         # Before all that takes time to import: told to end in its first 0.3 s, a relay ends as any other.
@@ -79,4 +87,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    end_process(main())
--- a/cedarledge/cli.py
+++ b/cedarledge/cli.py
@@ -56,9 +56,9 @@
     SIGTERM ends it: its clients are answered and moved first. SIGHUP reads BALANCER_CONFIG and the operator
     file again.
     """
-    from cedarledge.__main__ import start
+    from cedarledge.__main__ import end_process, start
 
-    sys.exit(start(path))
+    end_process(start(path))
 
 
 @main.command()
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -13,9 +13,11 @@
 from zope.interface import implementer
 
 from cedarledge.net.config import Address
+from cedarledge.net.deadlines import Deadline
 from cedarledge.net.lines import figure
 from cedarledge.net.links import Link, Means
 from cedarledge.net.paces import Paces
+from cedarledge.net.shortages import was_not_tried
 from cedarledge.net.slots import FullError
 from cedarledge.settings import ReportReader
 from cedarledge.terms import MS, LoadReport, Outcome
@@ -27,6 +29,8 @@
 TURN = 50 * MS
 # How soon a probe that took unusually long is sent once more.
 ASK_AGAIN = 250 * MS
+# How soon a connect for which this machine lacked something is begun again.
+TRY_AGAIN = 10 * MS
 
 
 ProbeOver = Callable[[int, bool, LoadReport], None]
@@ -76,18 +80,34 @@
         super().__init__(means)
         self.address = address
         self._connecting: Deferred | None = None
+        self._next_try: Deadline | None = None
 
     def connect(self, within: int, reads_first: bool = True) -> None:
         self.due_in(within, self._never_up, reads_first)
+        self._begin()
+
+    def _begin(self) -> None:
+        self._next_try = None
         endpoint = TCP4ClientEndpoint(self.means.reactor, *self.address, timeout=None)
         self._connecting = endpoint.connect(Once(self))
         self._connecting.addErrback(self._not_up)
 
     def _never_up(self) -> None:
-        if self._connecting is not None:
+        if self._next_try is not None:
+            self.means.deadlines.cancel(self._next_try)
+            self._failed()
+        elif self._connecting is not None:
             self._connecting.cancel()
 
-    def _not_up(self, _why: Failure) -> None:
+    def _not_up(self, why: Failure) -> None:
+        if was_not_tried(why.value) and not self.ending:
+            # This machine lacked something for it: that says nothing of the backend, and may be over.
+            self._next_try = self.means.deadlines.after(TRY_AGAIN, self._begin)
+        else:
+            self._failed()
+
+    def _failed(self) -> None:
+        self._next_try = None
         self._ended_by_peer(abrupt=True)
         self._gone()
 
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -16,6 +16,7 @@
 
 from cedarledge.net.config import Address
 from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.shortages import was_not_tried
 from cedarledge.terms import MS, SECOND
 
 PATH = "/discovery/hosts"
@@ -361,9 +362,13 @@
         if self._call is None:
             # By let_go, whose doing this is.
             return
-        known, self._was_lost = self._pushed and self._was_lost, True
         self._call = None
         self.let_go()
+        if was_not_tried(why.value):
+            # This machine lacked something for the connect: discovery was not asked.
+            self._due = self._deadlines.after(AGAIN, self._ask)
+            return
+        known, self._was_lost = self._pushed and self._was_lost, True
         given_up = why.check(CancelledError, ConnectingCancelledError) is not None
         self._due = self._deadlines.after(AGAIN if self._pushed else self._retry_delay(given_up), self._ask)
         if not known:  # it would be told ten times a second
--- a/cedarledge/net/doors.py
+++ b/cedarledge/net/doors.py
@@ -4,16 +4,22 @@
 
 import os
 import socket
+import time
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.protocol import ServerFactory
 
 from cedarledge.net.config import Address
 from cedarledge.net.links import Link, Means
+from cedarledge.net.shortages import SHORTAGES
 
 # Twisted takes in up to 20 more at a time than it is told to, and they fit into the room that is kept: a
 # place comes free only after them.
 AT_A_TIME = 4
+BACKLOG = 1024
+# How often, and how far apart in seconds, a listener is opened where this machine lacks something for it.
+LISTEN_TRIES, LISTEN_AGAIN = 20, 0.05
 
 
 class Door(ServerFactory):
@@ -37,14 +43,24 @@
     def open(self, address: Address, inherited: int | None = None) -> None:
         """On a socket of its own, or on the one that this process inherited by that descriptor."""
         if inherited is None:
-            host, port = address
-            self.port = self.means.reactor.listenTCP(port, self, backlog=1024, interface=host)
+            self.port = self._listen(*address)
         else:
             os.set_blocking(inherited, False)
             # The reactor makes one of its own; the inherited one stays, as SIGHUP has it looked at again.
             self.port = self.means.reactor.adoptStreamPort(inherited, socket.AF_INET, self)
         self.port.numberAccepts = AT_A_TIME
 
+    def _listen(self, host: str, port: int) -> Any:
+        """Raises CannotListenError. Nothing is served yet, so it may wait."""
+        for _ in range(LISTEN_TRIES - 1):
+            try:
+                return self.means.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
+            except CannotListenError as why:
+                if getattr(why.socketError, "errno", None) not in SHORTAGES:
+                    raise
+            time.sleep(LISTEN_AGAIN)
+        return self.means.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
+
     def make_room(self) -> None:
         # Twisted would take in a hundred and more before it lets one of those go that make room.
         self.port.numberAccepts = AT_A_TIME
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -17,6 +17,7 @@
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import END, LONGEST, Lines, OverlongError
+from cedarledge.net.shortages import NOT_NOW
 from cedarledge.net.slots import Slots
 from cedarledge.terms import SECOND
 
@@ -24,6 +25,8 @@
 LINGER = SECOND
 # How much more is read of it meanwhile. Past that its peer is not about to hear: it is still sending.
 LINGER_BYTES = 64 << 10
+# How often the system is asked at most whether a peer has left.
+LOOKS = 5
 
 
 class Means(NamedTuple):
@@ -96,13 +99,16 @@
         """Whether its peer, who has only to wait, has ended it or said more, and that only lies unread: after
         a pause of this process, or where the reactor comes to another connection first. An end may lie behind
         what was said, and that is the end of it as well."""
-        try:
-            self.transport.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            pass
-        return True
+        for _ in range(LOOKS):
+            try:
+                self.transport.socket.recv(1, socket.MSG_PEEK)
+            except BlockingIOError:
+                return False
+            except OSError as why:
+                if why.errno in NOT_NOW:
+                    continue  # the system could not say
+            return True
+        return False
 
     def send_lines(self, lines: list[bytes]) -> bool:
         """Lines that go straight to the system where nothing waits before them: by way of the reactor each
@@ -114,11 +120,10 @@
         if not transport.dataBuffer and not transport._tempDataBuffer and self.up and not self.ending:
             try:
                 data = data[transport.socket.send(data) :]
-            except BlockingIOError:
-                pass
-            except OSError:
-                # It is broken; the reactor finds out in its own way, and connectionLost says how.
-                return False
+            except OSError as why:
+                if why.errno not in NOT_NOW:
+                    # It is broken; the reactor finds out in its own way, and connectionLost says how.
+                    return False
         if data:
             transport.write(data)
         return not data
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -19,6 +19,8 @@
 import msgspec
 from twisted.internet.protocol import ProcessProtocol
 
+from cedarledge.faults.preload import joined
+from cedarledge.faults.system_calls import SystemCallFaults
 from cedarledge.faults.wall_clock import WallClock
 from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.reactor import install_reactor
@@ -238,7 +240,12 @@
         self.failure: RunError | None = None
         # Relays whose wall clocks are stepped have one of their own, which outlives their processes.
         stepped = {act.which for act in plan.acts if act.who == "relay" and act.what == "step"}
-        self.clocks = {relay: WallClock(self._clock_folder(relay)) for relay in sorted(stepped)}
+        self.clocks = {relay: WallClock(self._fault_folder(relay)) for relay in sorted(stepped)}
+        self.system_calls = {
+            act.which: SystemCallFaults(self._fault_folder(act.which), plan.seed, act.size)
+            for act in plan.acts
+            if act.who == "relay" and act.what == "system_calls"
+        }
         for role, count in parts.items():
             for part in range(count):
                 book = folder / f"{role}-{part}.book"
@@ -250,8 +257,8 @@
                     )
                 )
 
-    def _clock_folder(self, relay: int) -> Path:
-        folder = self.folder / f"clock-{relay}"
+    def _fault_folder(self, relay: int) -> Path:
+        folder = self.folder / f"faults-{relay}"
         folder.mkdir(exist_ok=True)
         return folder
 
@@ -279,6 +286,9 @@
         """`under`: with the name of that other one."""
         if self.now() >= self.plan.seconds * SECOND or self.failure is not None:
             return
+        running = self.relays.get(relay)
+        if running is not None and not running.over:
+            return  # it was started by another fault, or comes back from its planned stop
         name = f"n{relay if under is None else under}"
         path = self.folder / f"relay-{relay}.json"
         chance = random.Random(self.plan.seed * 7919 + relay * 31 + (self.now() > 0))
@@ -297,8 +307,8 @@
         )
         process = self.relays[relay] = RelayProcess(self, relay, self.folder / f"relay-{relay}.log")
         env = os.environ | {"BALANCER_CONFIG": str(path), "BALANCER_NAME": name} | self.variant.env
-        if relay in self.clocks:
-            env |= self.clocks[relay].environment()
+        faults = (self.clocks.get(relay), self.system_calls.get(relay))
+        env |= joined(*(fault.environment() for fault in faults if fault is not None))
         command = self.variant.command
         if self.plan.operator and self.variant.takes_file:
             command = [*command, "relay", "--file", self._operator_file(relay)]
@@ -339,6 +349,8 @@
 
     def _played(self, act: Act) -> None:
         process = self.relays[act.which]
+        if act.what == "system_calls":
+            return  # it was started with them
         if act.what == "kill":
             process.end("killed", "KILL")
         elif act.what == "stop":
--- a/cedarledge/rig/scenario.py
+++ b/cedarledge/rig/scenario.py
@@ -57,6 +57,7 @@
     "way_unread",
     "clock_step",
     "signals",
+    "system_calls",
 ]
 # Kinds whose boxes come back from nothing.
 RESTARTS = frozenset(("crash", "drain", "elsewhere"))
--- a/cedarledge/rig/schedule.py
+++ b/cedarledge/rig/schedule.py
@@ -398,6 +398,11 @@
             for at in self._series(fault, SIGNALS_APART):
                 self._act(at, "relay", "signal", relay)
 
+    def _system_calls(self, fault: Fault) -> None:
+        """A part `size` of the relays' system calls on sockets fails, from their start on."""
+        for relay in self._relays(fault.share):
+            self._act(0.0, "relay", "system_calls", relay, self._size(fault))
+
     def _series(self, fault: Fault, apart: float) -> list[float]:
         """Times within a fault, about a period apart."""
         period = fault.period or apart
--- a/cedarledge/rig/soak.py
+++ b/cedarledge/rig/soak.py
@@ -66,6 +66,7 @@
     FaultRange("storm", (1, 1), (0.1, 0.3)),
     FaultRange("rude", (3, 8), size=(4.0, 12.0)),
     FaultRange("signals", (3, 8), (0.2, 0.6), period=(0.05, 0.3)),
+    FaultRange("system_calls", (1, 1), (0.2, 0.6), (0.001, 0.05)),
     FaultRange("way_cut", (2, 4), (0.1, 0.2)),
     FaultRange("way_one_way", (2, 4), (0.1, 0.2)),
     FaultRange("way_stall", (2, 4), (0.1, 0.2)),
--- a/cedarledge/standins/judge.py
+++ b/cedarledge/standins/judge.py
@@ -335,6 +335,7 @@
                 )
                 # At the relay's end of a way that is held up the first is over; its box can't know.
                 broken = self._way_broken(one.relay, one.box, one.began, two.whole)
+                broken = broken or self._was_read_late(one, two)
                 if two.whole < over - GRACE - 2 * self._far(one.relay, one.box) and not broken:
                     self._found("overlapping_setups", two.whole, f"{tun}: boxes {one.box} and {two.box}")
             if call is None:
@@ -351,6 +352,14 @@
             if call.word == "BUSY" and ran and not harmless:
                 self._found("declined_after_run", call.answered, f"{tun} ({row.effect}): box {ran[0].box}")
 
+    def _was_read_late(self, one: Setup, two: Setup) -> bool:
+        """Whether the second may have been over before the first was sent: its way held it up, and its end
+        came no later than that way may have held up an end from before the first."""
+        return (
+            self._way_broken(two.relay, two.box, one.began, two.whole)
+            and 0 <= two.ended <= one.began + WAY_SLACK
+        )
+
     def _may_follow(self, row: Any, first: Setup, later: Setup) -> bool:
         if row.effect == "pure":
             return True
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -223,6 +223,11 @@
 
     two = LOST["two setups at once"][1]
     assert broken(*two, acts=way(0)) == set() and broken(*two, acts=way(1)) == {"overlapping_setups"}
+    # One given up before the other was sent, and read behind it for its way; and one that was not given up.
+    given_up = setup(1, word="", answered=-1, whole=SECOND + 100 * MS, ended=SECOND + 300 * MS)
+    read_late = [call(), setup(), given_up]
+    assert broken(*read_late) == {"overlapping_setups"}
+    assert broken(*read_late, acts=way(1)) == set()
     assert broken(call(held=1), setup(), acts=way(0)) == set()
     assert broken(call(held=1), setup(), acts=way(1)) == {"lines_lost"}
     assert broken(call(), setup(gaps=1), acts=way(0)) == {"lines_lost"}
--- a/tests/test_system_calls.py
+++ b/tests/test_system_calls.py
@@ -26,7 +26,8 @@
         environment = faults.environment()
 
     words: Counter[str] = Counter()
-    with FaultyProgram(tmp_path, [Backend("a"), Backend("b")]) as relay:
+    # Enough of them that a connect that timed out leaves others: what a timeout says of a backend counts.
+    with FaultyProgram(tmp_path, [Backend(name) for name in "abcdef"]) as relay:
         for number in range(CLIENTS):
             client = relay.client()
             began = time.monotonic()
