--- a/cedarledge/net/boxlist.py
+++ b/cedarledge/net/boxlist.py
@@ -15,6 +15,11 @@
 PHASES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
 
+def _unix_start(told: Mapping[str, Any]) -> int:
+    """When an entry's backend started, in Unix time, ns; 0: long ago. Raises ValueError or TypeError."""
+    return int(told.get("up_since_ms") or 0) * MS
+
+
 class BoxList:
     """Hands out the boxes' numbers, and passes each change on the moment it is read: the grace for drains
     runs from when discovery wrote it. What operators say of a box is merged in here: one that they have taken
@@ -59,7 +64,13 @@
     def start_of(self, backend_id: int, told: Mapping[str, Any]) -> int:
         """When an entry's backend started, on this relay's clock; 0: long ago. Raises ValueError or
         TypeError."""
-        return self.start_times.place(backend_id, int(told.get("up_since_ms") or 0) * MS)
+        return self.start_times.place(backend_id, _unix_start(told))
+
+    def known_at_start(self, members: list[dict[str, Any]]) -> list[Listed]:
+        """The list that this relay was started with, in the module's terms. Raises KeyError, TypeError or
+        ValueError."""
+        self.start_times.begin(map(_unix_start, members))
+        return [self.entry(told) for told in members]
 
     def told(self, whole: bool, members: list[dict[str, Any]]) -> None:
         """Raises KeyError, TypeError or ValueError, and then nothing has changed."""
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -107,7 +107,7 @@
             )
             allowed, reports = settings["allowed"], settings.get("load_report") or {}
             connect_within = int(allowed["connect_timeout"]) * US or LONGEST_STOP  # 0: no limit is told
-            known = [self.boxes.entry(entry) for entry in orders.known["members"]]
+            known = self.boxes.known_at_start(orders.known["members"])
             self.watching = Watch(
                 reactor,
                 self.deadlines,
--- a/cedarledge/net/start_times.py
+++ b/cedarledge/net/start_times.py
@@ -2,14 +2,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
 from cedarledge.terms import MS, SECOND
 
-# How long after it a start may be listed: what discovery has to tell counts as received after so long.
-LISTED_WITHIN = 6 * SECOND
+# How long after it a start is usually listed. Where it seems further back this machine's clock is wrong.
+LISTED_WITHIN = 2 * SECOND
 
 
 class StartTimes:
@@ -17,9 +17,10 @@
 
     That clock is set to Unix time once, at this relay's start. If the machine's wall clock had been stepped
     by then, each start would seem younger or older by the step: slow start would go on for that long, or be
-    over before it began. What is told of a start that this relay sees sets it right: it lies no later than
-    the list that tells of it, and not long before the one in which it was missing. In doubt a backend is
-    taken for as young as it can be, since an overloaded one falls.
+    over before it began. So a relay that starts takes the newest start that it is told of for one of that
+    moment, and the others as far before it as they are. What is told of a start that it sees sets it right:
+    it lies no later than the list that tells of it, and not long before the one in which it was missing. In
+    doubt a backend is taken for as young as it can be, since an overloaded one falls.
     """
 
     def __init__(self, clock: Callable[[], int]) -> None:
@@ -29,6 +30,12 @@
         self._starts: dict[int, tuple[int, int]] = {}  # of each backend: as it was told, as it was placed
         self._list_current_at: int | None = None
 
+    def begin(self, told: Iterable[int]) -> None:
+        """The first list of this relay has these starts, in Unix time, ns."""
+        newest = max(told, default=0)
+        if newest > 0:
+            self.correction = self._clock() - newest
+
     def place(self, backend_id: int, told: int) -> int:
         """A start told in Unix time, ns, as a time on the relay's clock; 0 stands for long ago. The same
         start stays where it is, since a start that moves is another one."""
@@ -44,7 +51,8 @@
         return self._clock() - self.correction - steady_now
 
     def follow_unix_offset(self, offset: int, steady_now: int) -> None:
-        """Takes over what another process on this machine knew of Unix time."""
+        """Takes over what another process on this machine knew of Unix time, for starts told before too."""
+        self._starts.clear()
         self.correction = self._clock() - steady_now - offset
 
     def list_current(self) -> None:
