--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -48,13 +48,14 @@
 
 def start(operator_file: str | None = None) -> int:
     """Runs the relay and gives its exit code; 2 where it could not start, with one line that says why."""
-    from cedarledge.net.config import BadConfigError, read_orders
+    from cedarledge.net.config import START_TRIES, BadConfigError, read_orders
     from cedarledge.net.relay import run
 
     try:
+        orders = read_orders(os.environ, START_TRIES)
         if operator_file is None:
-            return run(read_orders(os.environ))
-        return run(read_orders(os.environ), _reader(operator_file), joins=_joins)
+            return run(orders)
+        return run(orders, _reader(operator_file), joins=_joins)
     except BadConfigError as why:
         sys.stderr.write(f"cedarledge: {why}\n")
         return CAN_NOT_START
--- a/cedarledge/fleet.py
+++ b/cedarledge/fleet.py
@@ -79,8 +79,8 @@
             "newcomers": newcomers.read(relay.clock()),
         }
 
-    reactor = relay.means.reactor
-    shell = Shell(reactor, relay.deadlines, table.listen, tells)
+    reactor = relay.context.reactor
+    shell = Shell(reactor, relay.timers, table.listen, tells)
     pace = Pace(int(table.probe_every_ms * MS), int(table.probe_every_ms * MS * 2 // 5))
     # Not the seed of its orders: a relay that is started again with the same ones must have another life.
     seed = int.from_bytes(os.urandom(8), "big")
--- a/cedarledge/net/audit.py
+++ b/cedarledge/net/audit.py
@@ -7,9 +7,9 @@
 
 from loguru import logger
 
-from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.invariants import Invariant, Invariants
 from cedarledge.net.request_guard import GRACE
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.net.tunnels import Tunnel, Tunnels
 from cedarledge.terms import MS, SECOND
 
@@ -33,30 +33,30 @@
 
     def __init__(
         self,
-        deadlines: Deadlines,
+        timers: Timers,
         tunnels: Tunnels,
         invariants: Invariants,
         wall_clock: Callable[[], int] = wall_clock_lead,
     ) -> None:
-        self._deadlines = deadlines
+        self._timers = timers
         self._tunnels = tunnels
         self._invariants = invariants
         self._wall_clock = wall_clock
         self._lead = wall_clock()
         self.clock_steps = 0
-        self._told_at, self._told = deadlines.now(), ""
+        self._told_at, self._told = timers.now(), ""
         self._reported: set[int] = set()  # handles of those that were counted already
-        self._due: Deadline | None = None
-        deadlines.stuck = self._timers_stuck
+        self._due: Timer | None = None
+        timers.stuck = self._timers_stuck
 
     def start(self) -> None:
         # Behind what lies unread: a pause of this process is no fault of what it owes.
-        self._due = self._deadlines.after_reading(AUDIT_EVERY, self._look)
+        self._due = self._timers.after_reading(AUDIT_EVERY, self._look)
 
     def _look(self) -> None:
         self.start()
         self._look_at_wall_clock()
-        now = self._deadlines.now()
+        now = self._timers.now()
         held = self._tunnels.table.handles()
         self._reported.intersection_update(held)
         for handle in held:
@@ -100,7 +100,7 @@
 
     def end(self) -> None:
         """The last look, as the relay ends: nobody may be left without an answer."""
-        self._deadlines.cancel(self._due)
+        self._timers.cancel(self._due)
         for handle in self._tunnels.table.handles():
             tunnel = self._tunnels.table.get(handle)
             if tunnel is not None and not tunnel.over:
--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -13,12 +13,12 @@
 from zope.interface import implementer
 
 from cedarledge.net.config import Address
-from cedarledge.net.deadlines import Deadline
 from cedarledge.net.lines import figure
-from cedarledge.net.links import Link, Means
+from cedarledge.net.links import ConnectionContext, Link
 from cedarledge.net.paces import Paces
 from cedarledge.net.shortages import was_not_tried
 from cedarledge.net.slots import FullError
+from cedarledge.net.timers import Timer
 from cedarledge.settings import ReportReader
 from cedarledge.terms import MS, LoadReport, Outcome
 
@@ -76,11 +76,11 @@
 
     peer = "backend"
 
-    def __init__(self, means: Means, address: Address) -> None:
-        super().__init__(means)
+    def __init__(self, context: ConnectionContext, address: Address) -> None:
+        super().__init__(context)
         self.address = address
         self._connecting: Deferred | None = None
-        self._next_try: Deadline | None = None
+        self._next_try: Timer | None = None
 
     def connect(self, within: int, reads_first: bool = True) -> None:
         self.due_in(within, self._never_up, reads_first)
@@ -88,13 +88,13 @@
 
     def _begin(self) -> None:
         self._next_try = None
-        endpoint = TCP4ClientEndpoint(self.means.reactor, *self.address, timeout=None)
+        endpoint = TCP4ClientEndpoint(self.context.reactor, *self.address, timeout=None)
         self._connecting = endpoint.connect(Once(self))
         self._connecting.addErrback(self._not_up)
 
     def _never_up(self) -> None:
         if self._next_try is not None:
-            self.means.deadlines.cancel(self._next_try)
+            self.context.timers.cancel(self._next_try)
             self._failed()
         elif self._connecting is not None:
             self._connecting.cancel()
@@ -102,7 +102,7 @@
     def _not_up(self, why: Failure) -> None:
         if was_not_tried(why.value) and not self.ending:
             # This machine lacked something for it: that says nothing of the backend, and may be over.
-            self._next_try = self.means.deadlines.after(TRY_AGAIN, self._begin)
+            self._next_try = self.context.timers.after(TRY_AGAIN, self._begin)
         else:
             self._failed()
 
@@ -130,18 +130,18 @@
         head: Callable[[int], bytes],
         timeout: int,
     ) -> None:
-        super().__init__(backends.means, address)
+        super().__init__(backends.context, address)
         self.backends = backends
         self.tun = tun
         self.ep = ep
         self.head = head
-        self.began = self.means.clock()
+        self.began = self.context.clock()
         self.give_up = self.began + timeout
         self.writing = self.written = self.opened = self.over = False
         self.last: tuple[Outcome, LoadReport | None] | None = None
 
     def came_up(self) -> None:
-        left = self.give_up - self.means.clock()
+        left = self.give_up - self.context.clock()
         if left <= 0 or not self.backends.watcher.may_send(self.tun, self.ep):
             # The list may have told of a drain while this was connecting, and a send counts from its line.
             self.abort()
@@ -156,7 +156,7 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         if not self.writing:
-            line = self.head(self.give_up - self.means.clock())
+            line = self.head(self.give_up - self.context.clock())
             # Looked at last: where this process is paused in between, its client may leave meanwhile.
             if self.backends.watcher.client_has_left(self.tun):
                 # Its end is read within this turn of the reactor, or the next, and this one called off then.
@@ -191,7 +191,7 @@
         if line.partition(b" ")[0] == b"UP":
             self.opened = True
             self.nothing_due()
-            self.backends.watcher.setup_up(self.tun, line, self.means.clock() - self.began)
+            self.backends.watcher.setup_up(self.tun, line, self.context.clock() - self.began)
             return
         # What none of the words fits is an error: it may have run.
         outcome, report = self._ends(line) or (Outcome.ERROR, None)
@@ -231,7 +231,7 @@
         if not self.over:
             self.over = True
             self.backends.watcher.setup_over(
-                self.tun, self.ep, outcome, self.means.clock() - self.began, report, abrupt
+                self.tun, self.ep, outcome, self.context.clock() - self.began, report, abrupt
             )
 
 
@@ -239,7 +239,7 @@
     """The connection for one backend's probes, kept while it is used: a new one costs the backend more."""
 
     def __init__(self, backends: Backends, ep: int, address: Address) -> None:
-        super().__init__(backends.means, address)
+        super().__init__(backends.context, address)
         self.backends = backends
         self.ep = ep
         self.out = self.again = False
@@ -260,7 +260,7 @@
         self._write()
 
     def _write(self) -> None:
-        self.asked_at = self.means.clock()
+        self.asked_at = self.context.clock()
         self.due_in(self.backends.probe_within, self.turn_out, reads_first=True)
         self.send_line(self.backends.probe_word)
 
@@ -271,7 +271,7 @@
             return
         self.kept = True
         report = (read_report(rest, self.backends.reader) if rest else None) or LoadReport()
-        slower = self.backends.paces.slower(self.ep, self.means.clock() - self.asked_at)
+        slower = self.backends.paces.slower(self.ep, self.context.clock() - self.asked_at)
         if slower > 1 and not self.again:
             # A short pause of the backend looks the same, and is over by then.
             self.again = True
@@ -310,7 +310,7 @@
 
     def __init__(
         self,
-        means: Means,
+        context: ConnectionContext,
         watcher: Watcher,
         probe_over: ProbeOver,
         reader: ReportReader,
@@ -320,7 +320,7 @@
         idle_within: int,
         probe_word: bytes,
     ) -> None:
-        self.means = means
+        self.context = context
         self.watcher = watcher
         self.probe_over = probe_over
         self.reader = reader
@@ -357,7 +357,7 @@
             except FullError:
                 # Told later, as the module is in the midst of asking, and as no news: the want of a slot is
                 # this relay's, and the backend may not be called busy for it.
-                self.means.deadlines.after(0, self.probe_over, ep, True, LoadReport())
+                self.context.timers.after(0, self.probe_over, ep, True, LoadReport())
                 return
         link.ask()
 
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -10,7 +10,7 @@
 from cedarledge.net.doors import Door
 from cedarledge.net.invariants import Invariant
 from cedarledge.net.lines import figure
-from cedarledge.net.links import Link, Means
+from cedarledge.net.links import ConnectionContext, Link
 from cedarledge.net.seams import Taker
 from cedarledge.terms import MS
 
@@ -101,7 +101,7 @@
     peer = "client"
 
     def __init__(self, listener: Listener) -> None:
-        super().__init__(listener.means)
+        super().__init__(listener.context)
         self.taker = listener.taker
         self.listener = listener
         self.tun = -1
@@ -167,7 +167,7 @@
         super()._gone()
         self.listener.gone(self)
         if self.owes_answer:
-            self.means.invariants.broken(Invariant.CLOSED_UNANSWERED, f"tunnel {self.tun}")
+            self.context.invariants.broken(Invariant.CLOSED_UNANSWERED, f"tunnel {self.tun}")
 
     # -- the answers, each the last but opened ---------------------------------------------------
 
@@ -200,17 +200,17 @@
 
     room = ROOM
 
-    def __init__(self, means: Means, taker: Taker) -> None:
-        super().__init__(means)
+    def __init__(self, context: ConnectionContext, taker: Taker) -> None:
+        super().__init__(context)
         self.taker = taker
         self.paused = self.held_back = False  # for want of slots; another process takes clients in
         self.away = False  # out of service: the front that asks is to deal no clients to this relay
 
     def buildProtocol(self, addr: IAddress) -> ClientLink | None:  # noqa: N802
         self.make_room()
-        if self.means.links.left <= LAST_ROOM:
+        if self.context.links.left <= LAST_ROOM:
             # Refused here by closing; a socket more might be the one that ends the process.
-            self.means.complaints.about("client", "no slot is left")
+            self.context.rate_limited_log.about("client", "no slot is left")
             self.paused = True
             self.port.stopReading()
             return None
@@ -222,7 +222,7 @@
 
     def came_free(self) -> None:
         """Slots have come free, here or at the process before."""
-        if self.paused and self.means.links.left > LAST_ROOM and self.port.connected:
+        if self.paused and self.context.links.left > LAST_ROOM and self.port.connected:
             self.paused = False
             self._read()
 
--- a/cedarledge/net/config.py
+++ b/cedarledge/net/config.py
@@ -2,22 +2,33 @@
 
 from __future__ import annotations
 
+import errno
 import json
 import os
 import socket
+import time
 from collections.abc import Mapping
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from cedarledge.net.shortages import NOT_NOW
 from cedarledge.settings import check_settings
 
 Address = tuple[str, int]
+# Of opening and reading a file: it may be read in a moment.
+NOT_READ = NOT_NOW | {errno.EIO}
+# How often a start tries to read its file, and how far apart in seconds.
+START_TRIES, READ_AGAIN = 20, 0.05
 
 
 class BadConfigError(Exception):
     """The relay can't start, or go on, with what it was told."""
 
 
+class ShortageError(BadConfigError):
+    """The file can't be read for want of something that this machine may have in a moment."""
+
+
 class StartingOrders(NamedTuple):
     name: str
     listen: Address
@@ -58,14 +69,33 @@
     return int(told)
 
 
-def read_orders(environ: Mapping[str, str]) -> StartingOrders:
+def _read_file(path: Path) -> bytes:
+    return path.read_bytes()
+
+
+def _read_patiently(path: Path, tries: int) -> bytes:
+    """Reads a file, and waits a little before each further try where this machine lacks something for it.
+    Raises BadConfigError."""
+    for left in reversed(range(tries)):
+        try:
+            return _read_file(path)
+        except OSError as why:
+            if why.errno not in NOT_READ:
+                raise BadConfigError(f"{path}: {why.strerror}") from why
+            if not left:
+                raise ShortageError(f"{path}: {why.strerror}") from why
+        time.sleep(READ_AGAIN)
+    raise ValueError(f"tries: {tries}")
+
+
+def read_orders(environ: Mapping[str, str], tries: int = 1) -> StartingOrders:
+    """What BALANCER_CONFIG's file tells. With more tries than one it waits in between for a file that can't
+    be read for a moment. Raises BadConfigError; ShortageError where another try may read it."""
     path = environ.get("BALANCER_CONFIG")
     if not path:
         raise BadConfigError("BALANCER_CONFIG is not set")
     try:
-        told = json.loads(Path(path).read_bytes())
-    except OSError as why:
-        raise BadConfigError(f"{path}: {why.strerror}") from why
+        told = json.loads(_read_patiently(Path(path), tries))
     except (ValueError, RecursionError) as why:
         raise BadConfigError(f"{path}: not JSON: {why}") from why
     try:
--- a/cedarledge/net/control.py
+++ b/cedarledge/net/control.py
@@ -11,7 +11,7 @@
 
 from cedarledge.net.buffers import Pool
 from cedarledge.net.doors import AT_A_TIME, Door
-from cedarledge.net.links import Link, Means
+from cedarledge.net.links import ConnectionContext, Link
 from cedarledge.net.service import Service, UnknownError
 from cedarledge.net.slots import Slots
 from cedarledge.terms import MS
@@ -123,7 +123,7 @@
     peer = "operator"
 
     def __init__(self, control: Control) -> None:
-        super().__init__(control.means)
+        super().__init__(control.context)
         self.control = control
         self.reader = CallReader()
 
@@ -141,7 +141,7 @@
         try:
             call = self.reader.feed(data)
         except CallError as why:
-            self.means.complaints.about(self.peer, str(why))
+            self.context.rate_limited_log.about(self.peer, str(why))
             self.answer(why.answer)
             return
         if call is None:
@@ -174,8 +174,8 @@
 
     room = ROOM
 
-    def __init__(self, means: Means, service: Service, handover: Handover | None) -> None:
-        super().__init__(means._replace(links=Slots(MOST_CALLERS), pool=Pool(0, 0)))
+    def __init__(self, context: ConnectionContext, service: Service, handover: Handover | None) -> None:
+        super().__init__(context._replace(links=Slots(MOST_CALLERS), pool=Pool(0, 0)))
         self.service = service
         self.handover = handover  # to another process of this relay, where there can be one
 
@@ -183,8 +183,8 @@
         self.make_room()
         # After a pause of this process Twisted would take in 24 in its next turn, more than have a place: the
         # first of them would make room for the last before their calls were read.
-        self.means.deadlines.after(0, setattr, self.port, "numberAccepts", AT_A_TIME)
-        return CallLink(self) if self.means.links.left else None
+        self.context.timers.after(0, setattr, self.port, "numberAccepts", AT_A_TIME)
+        return CallLink(self) if self.context.links.left else None
 
     def carry_out(self, call: Call, answer: Callable[[Answer], None]) -> None:
         *start, last = call.path.split("/")
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -15,8 +15,8 @@
 from twisted.python.failure import Failure
 
 from cedarledge.net.config import Address
-from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.shortages import was_not_tried
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.terms import MS, SECOND
 
 PATH = "/discovery/hosts"
@@ -229,7 +229,7 @@
     def __init__(
         self,
         reactor: IReactorTCP,
-        deadlines: Deadlines,
+        timers: Timers,
         address: Address,
         revision: int,
         wait: int,
@@ -242,7 +242,7 @@
         """`pushed`: a lost call is made again here, soon. Else `failed` has others say when, by `start`, up
         to RETRY_WITHIN. `current` is called after each answer, also one without news."""
         self._reactor = reactor
-        self._deadlines = deadlines
+        self._timers = timers
         self._address = address
         self._revision: int | None = revision  # None: the whole list is asked for
         self._longest = max(LEAST_WAIT, min(wait or LONGEST_WAIT, LONGEST_WAIT))
@@ -253,7 +253,7 @@
         self._current = current
         self._link: DiscoveryLink | None = None
         self._call: Deferred | None = None
-        self._due: Deadline | None = None
+        self._due: Timer | None = None
         self._asked_at = self._wait = 0
         # Of the calls since the last answer: whether one was silent, and whether one was lost.
         self._was_silent = self._was_lost = False
@@ -283,18 +283,18 @@
 
     def let_go(self) -> None:
         """Gives back the call and its connection, and tells nobody: the list is not lost."""
-        self._deadlines.cancel(self._due)
+        self._timers.cancel(self._due)
         call, self._call = self._call, None
         if call is not None:
             call.cancel()
         self._drop()
 
     def _ask(self) -> None:
-        self._deadlines.cancel(self._due)
-        self._asked_at = self._deadlines.now()
+        self._timers.cancel(self._due)
+        self._asked_at = self._timers.now()
         self._wait = int(self._longest * (1 - SHORTER * self._chance()))
         if self._link is None:
-            self._due = self._deadlines.after_reading(CONNECT_WITHIN, self._hung)
+            self._due = self._timers.after_reading(CONNECT_WITHIN, self._hung)
             endpoint = TCP4ClientEndpoint(self._reactor, *self._address, timeout=None)
             self._call = connectProtocol(endpoint, DiscoveryLink()).addCallback(self._connected)
         else:
@@ -303,9 +303,9 @@
 
     def _connected(self, link: DiscoveryLink) -> Deferred[HttpAnswer]:
         self._link = link
-        self._deadlines.cancel(self._due)
+        self._timers.cancel(self._due)
         # The answer may lie unread where this process was paused, and a drain in it counts as told.
-        self._due = self._deadlines.after_reading(
+        self._due = self._timers.after_reading(
             WHOLE_WITHIN if self._revision is None else self._wait + PATIENCE, self._hung
         )
         target = (
@@ -340,9 +340,9 @@
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as why:
             raise HttpError(f"not a list: {why!r}") from why
         self._current()
-        self._deadlines.cancel(self._due)
+        self._timers.cancel(self._due)
         self._was_silent = self._was_lost = False
-        early = self._deadlines.now() - self._asked_at < self._wait // 2
+        early = self._timers.now() - self._asked_at < self._wait // 2
         if newer or not (members or early):
             self._revision = revision
             if answer.closes:
@@ -356,7 +356,7 @@
         logger.warning("discovery: revision {} after {}: out of step", revision, self._revision)
         self._revision = revision if whole else None
         self._drop()
-        self._due = self._deadlines.after(PAUSE, self._ask)
+        self._due = self._timers.after(PAUSE, self._ask)
 
     def _lost(self, why: Failure) -> None:
         if self._call is None:
@@ -366,11 +366,11 @@
         self.let_go()
         if was_not_tried(why.value):
             # This machine lacked something for the connect: discovery was not asked.
-            self._due = self._deadlines.after(AGAIN, self._ask)
+            self._due = self._timers.after(AGAIN, self._ask)
             return
         known, self._was_lost = self._pushed and self._was_lost, True
         given_up = why.check(CancelledError, ConnectingCancelledError) is not None
-        self._due = self._deadlines.after(AGAIN if self._pushed else self._retry_delay(given_up), self._ask)
+        self._due = self._timers.after(AGAIN if self._pushed else self._retry_delay(given_up), self._ask)
         if not known:  # it would be told ten times a second
             logger.warning("discovery: {}", "no answer in time" if given_up else why.getErrorMessage())
             self._failed()
@@ -378,7 +378,7 @@
     def _retry_delay(self, given_up: bool) -> int:
         """How long until the next call at the latest. One that was given up has said nothing since it began:
         discovery may have been back since then."""
-        spent = self._deadlines.now() - self._asked_at if given_up else 0
+        spent = self._timers.now() - self._asked_at if given_up else 0
         return max(AGAIN, int(RETRY_WITHIN * (1 - SHORTER * self._chance())) - spent)
 
     def _drop(self) -> None:
--- a/cedarledge/net/doors.py
+++ b/cedarledge/net/doors.py
@@ -11,7 +11,7 @@
 from twisted.internet.protocol import ServerFactory
 
 from cedarledge.net.config import Address
-from cedarledge.net.links import Link, Means
+from cedarledge.net.links import ConnectionContext, Link
 from cedarledge.net.shortages import SHORTAGES
 
 # Twisted takes in up to 20 more at a time than it is told to, and they fit into the room that is kept: a
@@ -32,8 +32,8 @@
     noisy = False
     room = 0  # with less than this left each newcomer takes the place of another
 
-    def __init__(self, means: Means) -> None:
-        self.means = means
+    def __init__(self, context: ConnectionContext) -> None:
+        self.context = context
         self.port: Any = None
         # Each in the order in which they came to be there.
         self.leaving: dict[Link, None] = {}  # all is said, and the peer has not ended its side
@@ -47,25 +47,28 @@
         else:
             os.set_blocking(inherited, False)
             # The reactor makes one of its own; the inherited one stays, as SIGHUP has it looked at again.
-            self.port = self.means.reactor.adoptStreamPort(inherited, socket.AF_INET, self)
+            self.port = self.context.reactor.adoptStreamPort(inherited, socket.AF_INET, self)
         self.port.numberAccepts = AT_A_TIME
 
     def _listen(self, host: str, port: int) -> Any:
         """Raises CannotListenError. Nothing is served yet, so it may wait."""
         for _ in range(LISTEN_TRIES - 1):
             try:
-                return self.means.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
-            except CannotListenError as why:
-                if getattr(why.socketError, "errno", None) not in SHORTAGES:
+                return self.context.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
+            except (CannotListenError, OSError) as why:
+                system = why.socketError if isinstance(why, CannotListenError) else why
+                if getattr(system, "errno", None) not in SHORTAGES:
                     raise
             time.sleep(LISTEN_AGAIN)
-        return self.means.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
+        return self.context.reactor.listenTCP(port, self, backlog=BACKLOG, interface=host)
 
     def make_room(self) -> None:
         # Twisted would take in a hundred and more before it lets one of those go that make room.
         self.port.numberAccepts = AT_A_TIME
         # A newcomer that becomes a tunnel takes a second slot for its setup, so it may be more than one.
-        while self.means.links.left + len(self.going) <= self.room and (held := self.leaving or self.waiting):
+        while self.context.links.left + len(self.going) <= self.room and (
+            held := self.leaving or self.waiting
+        ):
             link = next(iter(held))
             del held[link]
             self.going.add(link)
--- a/cedarledge/net/echoes.py
+++ b/cedarledge/net/echoes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.terms import SECOND
 
 # A sound connection brings a line back at once. The page wants a silent one ended or moved within 7 s; the
@@ -49,12 +49,12 @@
     def __init__(
         self,
         clock: Callable[[], int],
-        deadlines: Deadlines,
+        timers: Timers,
         delays: Delays,
         tell_silent: Callable[[int], None],
     ) -> None:
         self.clock = clock
-        self.deadlines = deadlines
+        self.timers = timers
         self.delays = delays
         self.tell_silent = tell_silent
         self._first = delays.slow or SILENT
@@ -66,7 +66,7 @@
         if not self._looks:
             self._looks = True
             # Where this process was paused the answers lie unread, and all that it holds would be moved.
-            self.deadlines.after_reading(self._first, self._look)
+            self.timers.after_reading(self._first, self._look)
 
     def waits_no_longer(self, echo: Echo) -> None:
         self._waiting.pop(echo, None)
@@ -79,7 +79,7 @@
             del self._waiting[echo]
         for since in self._waiting.values():
             self._looks = True
-            self.deadlines.after_reading(since + self._first - now, self._look)
+            self.timers.after_reading(since + self._first - now, self._look)
             break
         for echo in due:
             # One that is told of first may have ended another since.
@@ -103,7 +103,7 @@
         self._tun = tun
         self._ep = ep
         self._asked_at = 0
-        self._due: Deadline | None = None
+        self._due: Timer | None = None
 
     @property
     def is_asked(self) -> bool:
@@ -131,13 +131,13 @@
             self._echoes.tell_silent(self._tun)
             return
         # A hang is told while it grows: a second later its clients have lost that second.
-        self._due = self._echoes.deadlines.after_reading(min(age, TELL_EVERY, SILENT - age), self.overdue)
+        self._due = self._echoes.timers.after_reading(min(age, TELL_EVERY, SILENT - age), self.overdue)
         self._echoes.delays.took(self._ep, age)
 
     def close(self) -> None:
         """The one place where what waits for its answer is given back."""
         if self._due is not None:
-            self._echoes.deadlines.cancel(self._due)
+            self._echoes.timers.cancel(self._due)
             self._due = None
         self._echoes.waits_no_longer(self)
         self._asked_at = 0
--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -27,11 +27,11 @@
 from cedarledge.net import beliefs
 from cedarledge.net.backends import Once
 from cedarledge.net.boxlist import BoxList
-from cedarledge.net.deadlines import Deadline
 from cedarledge.net.discovery import Watch
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
 from cedarledge.net.seams import Front
 from cedarledge.net.service import Service, UnknownError
+from cedarledge.net.timers import Timer
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.settings import mark_of
 from cedarledge.terms import MS, ListForm
@@ -243,7 +243,7 @@
 
     def __init__(
         self,
-        means: Means,
+        context: ConnectionContext,
         folder: Path,
         name: str,
         service: Service,
@@ -252,9 +252,9 @@
         listener: Front,
         watching: Watch,
     ) -> None:
-        self.reactor = means.reactor
-        self.deadlines = means.deadlines
-        self.links = means.links
+        self.reactor = context.reactor
+        self.timers = context.timers
+        self.links = context.links
         self.folder = _reachable(folder)
         self.name = name
         self.service = service
@@ -264,9 +264,9 @@
         self.watching = watching
         self.before: Peer | None = None  # the process that this one took over from
         self.after: Peer | None = None  # the one that takes over from this one
-        self._lease: Deadline | None = None
+        self._lease: Timer | None = None
         self._calls = count(1)
-        self._unheard: dict[int, tuple[Peer, Deadline, Callable[[], None]]] = {}
+        self._unheard: dict[int, tuple[Peer, Timer, Callable[[], None]]] = {}
 
     def listen(self) -> None:
         """A process that can't be asked still serves; the next one then goes on alone."""
@@ -309,7 +309,7 @@
 
     def _follow(self, estate: Estate) -> None:
         eps, shared_now = self.boxes.eps, time.monotonic_ns()
-        own_offset = self.deadlines.now() - shared_now
+        own_offset = self.timers.now() - shared_now
         # The wall clock may have been stepped between the starts of the two.
         shift = 0 if estate.clock_offset is None else own_offset - estate.clock_offset
         if estate.unix_offset is not None:
@@ -317,7 +317,7 @@
         self.boxes.banned = {eps[name]: since + shift for name, since in estate.banned.items()}
         self.boxes.back = {eps[name]: at + shift for name, at in estate.back.items()}
         self.boxes.take_in(ListForm.WHOLE, estate.members)
-        beliefs.follow(self.boxes.module.balancer, self.boxes.kinds, estate.beliefs, self.deadlines.now())
+        beliefs.follow(self.boxes.module.balancer, self.boxes.kinds, estate.beliefs, self.timers.now())
         self.watching.go_on_from(estate.revision)
         self.tunnels.ids_before = frozenset(estate.ids)
         self.tunnels.begun = True
@@ -336,7 +336,7 @@
         finally:
             link.close()  # the reactor has its own
         # After what is left: that is followed first.
-        self.deadlines.after(0, self.before.dataReceived, rest)
+        self.timers.after(0, self.before.dataReceived, rest)
 
     def _give_up(self) -> None:
         before, self.before = self.before, None
@@ -385,7 +385,7 @@
         self.after = peer
         self.listener.hold_back()
         # The other's word that it has taken over may lie unread where this process was paused.
-        self._lease = self.deadlines.after_reading(LEASE, self._lapsed, peer)
+        self._lease = self.timers.after_reading(LEASE, self._lapsed, peer)
         names, shared_now = self.boxes.eps.names, time.monotonic_ns()
         estate = Estate(
             shared_now + LEASE,
@@ -396,8 +396,8 @@
             self.listener.away,
             sorted(self.tunnels.ids),
             self._held(),
-            beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.deadlines.now()),
-            self.deadlines.now() - shared_now,
+            beliefs.told_of(self.boxes.module.balancer, self.boxes.kinds, self.timers.now()),
+            self.timers.now() - shared_now,
             self.boxes.start_times.unix_offset(shared_now),
         )
         peer.tell(version=VERSION, estate=estate._asdict())
@@ -412,7 +412,7 @@
     def _taken(self, peer: Peer) -> None:
         if peer is not self.after:
             raise NotFollowedError("it took over unasked")
-        self.deadlines.cancel(self._lease)
+        self.timers.cancel(self._lease)
         self.service.replaced = True
         logger.info("handover: the new process serves; {} tunnels are left here", self.tunnels.table.used)
         self._tell_held(peer)
@@ -420,7 +420,7 @@
     def _tell_held(self, peer: Peer) -> None:
         if peer is self.after:
             peer.tell(held=self._held())
-            self.deadlines.after(TELL_HELD, self._tell_held, peer)
+            self.timers.after(TELL_HELD, self._tell_held, peer)
 
     def lost(self, peer: Peer) -> None:
         for call, (asked, _, _) in list(self._unheard.items()):
@@ -435,7 +435,7 @@
         elif peer is self.after:
             # It died, or never took over: whoever waits in the system's queue is this process's again.
             logger.warning("handover: the new process is gone; this one serves on")
-            self.deadlines.cancel(self._lease)
+            self.timers.cancel(self._lease)
             self.after = None
             self.service.replaced = False
             self.listener.go_on()
@@ -450,7 +450,7 @@
             then()
             return
         call = next(self._calls)
-        self._unheard[call] = peer, self.deadlines.after_reading(HEARD_WITHIN, self._hangs, call), then
+        self._unheard[call] = peer, self.timers.after_reading(HEARD_WITHIN, self._hangs, call), then
         peer.tell(do=what, name=name, call=call)
 
     def _hangs(self, call: int) -> None:
@@ -460,7 +460,7 @@
     def _was_heard(self, call: int) -> None:
         _, due, then = self._unheard.pop(call, (None, None, None))
         if then is not None:
-            self.deadlines.cancel(due)
+            self.timers.cancel(due)
             then()
 
     def _do(self, what: Any, name: Any) -> None:
--- a/cedarledge/net/hearers.py
+++ b/cedarledge/net/hearers.py
@@ -8,8 +8,8 @@
 
 from loguru import logger
 
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.seams import HEARD, Hearer
+from cedarledge.net.timers import Timers
 from cedarledge.terms import SECOND
 
 # So many faults within a span and a hearer is left out.
@@ -35,13 +35,13 @@
     def __init__(
         self,
         clock: Callable[[], int],
-        deadlines: Deadlines,
+        timers: Timers,
         most_share: float = 0.05,
         left_out: int = 30 * SECOND,
         stopwatch: Callable[[], int] = perf_counter_ns,
     ) -> None:
         self._clock = clock
-        self._deadlines = deadlines
+        self._timers = timers
         self._stopwatch = stopwatch
         self.most = int(most_share * SECOND)
         self.left_out = left_out
@@ -100,7 +100,7 @@
             seat.faults,
             seat.spent // 1_000_000,
         )
-        self._deadlines.after(self.left_out, self._take_back, seat)
+        self._timers.after(self.left_out, self._take_back, seat)
 
     def _take_back(self, seat: _Seat) -> None:
         seat.out, seat.spent, seat.faults = False, 0, 0
--- a/cedarledge/net/invariants.py
+++ b/cedarledge/net/invariants.py
@@ -25,7 +25,7 @@
     OVERDUE_REQUEST = "a request past its deadline without an answer"
     CLOSED_UNANSWERED = "a connection closed with its request unanswered"
     HELD_SILENT = "a connection held on a backend that has long been silent"
-    STUCK_TIMERS = "deadlines that are overdue while the relay goes on"
+    STUCK_TIMERS = "timers that are overdue while the relay goes on"
 
 
 class Invariants:
--- a/cedarledge/net/links.py
+++ b/cedarledge/net/links.py
@@ -13,12 +13,12 @@
 from zope.interface import implementer
 
 from cedarledge.net.buffers import NoBufferError, Pool
-from cedarledge.net.complaints import Complaints
-from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import END, LONGEST, Lines, OverlongError
+from cedarledge.net.rate_limited_log import RateLimitedLog
 from cedarledge.net.shortages import NOT_NOW
 from cedarledge.net.slots import Slots
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.terms import SECOND
 
 # How long the peer of a connection that was ended may take to read what is left and to end its side.
@@ -29,15 +29,15 @@
 LOOKS = 5
 
 
-class Means(NamedTuple):
+class ConnectionContext(NamedTuple):
     """What all connections draw on."""
 
     reactor: Any
     clock: Callable[[], int]
-    deadlines: Deadlines
+    timers: Timers
     pool: Pool
     links: Slots[Link]
-    complaints: Complaints
+    rate_limited_log: RateLimitedLog
     invariants: Invariants
 
 
@@ -48,13 +48,13 @@
     transport: Any
     peer = ""  # what the log calls the other side
 
-    def __init__(self, means: Means) -> None:
-        self.means = means
-        self.lines = Lines(means.pool)
-        self.deadline: Deadline | None = None
+    def __init__(self, context: ConnectionContext) -> None:
+        self.context = context
+        self.lines = Lines(context.pool)
+        self.deadline: Timer | None = None
         self.up = self.ending = False
         self.unheard = 0  # bytes that came after its end
-        self.slot = means.links.take(self)
+        self.slot = context.links.take(self)
 
     # -- what the peers' files fill in -----------------------------------------------------------
 
@@ -75,19 +75,19 @@
 
     def bad_input(self, why: str) -> None:
         """The peer does not keep to the protocol."""
-        self.means.complaints.about(self.peer, why)
+        self.context.rate_limited_log.about(self.peer, why)
         self.turn_out()
 
-    # -- deadlines -------------------------------------------------------------------------------
+    # -- timers ----------------------------------------------------------------------------------
 
     def due_in(self, delay: int, call: Callable[[], None], reads_first: bool = False) -> None:
-        """Sets the one deadline that a connection has at a time; see Deadlines.after_reading."""
-        deadlines = self.means.deadlines
-        deadlines.cancel(self.deadline)
-        self.deadline = (deadlines.after_reading if reads_first else deadlines.after)(delay, call)
+        """Sets the one timer that a connection has at a time; see Timers.after_reading."""
+        timers = self.context.timers
+        timers.cancel(self.deadline)
+        self.deadline = (timers.after_reading if reads_first else timers.after)(delay, call)
 
     def nothing_due(self) -> None:
-        self.means.deadlines.cancel(self.deadline)
+        self.context.timers.cancel(self.deadline)
         self.deadline = None
 
     # -- sending and ending ----------------------------------------------------------------------
@@ -196,4 +196,4 @@
         self.up = False
         self.nothing_due()
         self.lines.close()
-        self.means.links.give_back(self.slot)
+        self.context.links.give_back(self.slot)
--- a/cedarledge/net/module.py
+++ b/cedarledge/net/module.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.timers import Timers
 from cedarledge.policy import Balancer
 from cedarledge.terms import DeploymentSettings, ExternalView
 
@@ -25,9 +25,9 @@
 
     balancer: Balancer
 
-    def __init__(self, clock: Callable[[], int], deadlines: Deadlines) -> None:
+    def __init__(self, clock: Callable[[], int], timers: Timers) -> None:
         self.clock = clock
-        self.deadlines = deadlines
+        self.timers = timers
         self.external_view = ExternalView()
 
     def join(self, tunnels: Tunnels, backends: Backends, boxes: BoxList, watching: Watch) -> None:
@@ -71,7 +71,7 @@
 
     def wake(self, delay: int, token: int) -> None:
         # The module takes the end of a look for its box's silence.
-        self.deadlines.after_reading(delay, self._woke, token)
+        self.timers.after_reading(delay, self._woke, token)
 
     def _woke(self, token: int) -> None:
         self.tell(self.balancer.woke, token)
--- a/cedarledge/net/complaints.py
+++ b/cedarledge/net/rate_limited_log.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.timers import Timers
 from cedarledge.terms import SECOND
 
 # So many lines a peer kind in each span: a peer that is turned away comes again at once, and a line for each
@@ -14,16 +14,16 @@
 MOST, SPAN = 5, 10 * SECOND
 
 
-class Complaints:
-    def __init__(self, deadlines: Deadlines) -> None:
-        self._deadlines = deadlines
+class RateLimitedLog:
+    def __init__(self, timers: Timers) -> None:
+        self._timers = timers
         self._counts: dict[str, int] = {}
 
     def about(self, peer: str, why: str | Callable[[], str]) -> None:
         """`why` may be a call that gives the text, made only where a line is written."""
         count = self._counts[peer] = self._counts.get(peer, 0) + 1
         if count == 1:
-            self._deadlines.after(SPAN, self._sum_up, peer)
+            self._timers.after(SPAN, self._sum_up, peer)
         if count <= MOST:
             logger.warning("{}: {}", peer, why if isinstance(why, str) else why())
 
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -19,22 +19,22 @@
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.buffers import Pool
 from cedarledge.net.clients import SPARE_LINKS, Listener
-from cedarledge.net.complaints import Complaints
-from cedarledge.net.config import BadConfigError, StartingOrders, read_orders
-from cedarledge.net.deadlines import Deadlines, steady_clock
+from cedarledge.net.config import BadConfigError, ShortageError, StartingOrders, read_orders
 from cedarledge.net.discovery import Watch
 from cedarledge.net.echoes import Delays, Echoes
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
 from cedarledge.net.logs import begin_logging, log_to_stderr
 from cedarledge.net.module import MakeBalancer, Module
 from cedarledge.net.paces import Paces
+from cedarledge.net.rate_limited_log import RateLimitedLog
 from cedarledge.net.reactor import install_reactor
 from cedarledge.net.seams import Front, Hearer
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
+from cedarledge.net.timers import Timer, Timers, steady_clock
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.policy import Balancer
 from cedarledge.settings import US, ReportReader, deployment_settings
@@ -56,6 +56,8 @@
 # after what part of the time moves that are put off begin, and the part of the tunnels that must have come
 # from another relay of late for that.
 KILL_LATER, LAST_LOOKS, LATE, REFUGEES = 300 * MS, 2, 0.65, 0.12
+# How soon a new configuration is read again that this machine could not read.
+RELOAD_AGAIN = 100 * MS
 ReadOperatorFile = Callable[[], "OperatorFile"]
 Joins = Callable[["Relay", StartingOrders, "OperatorFile"], None]
 
@@ -76,22 +78,22 @@
     def __init__(self, reactor: Any, orders: StartingOrders, balancer: MakeBalancer = Balancer) -> None:
         settings = orders.settings
         self.clock = steady_clock()
-        self.deadlines = Deadlines(reactor, self.clock)
+        self.timers = Timers(reactor, self.clock)
         files = _may_hold(orders.sockets)
         most = files - OWN_FILES - (CONTROL_FILES if orders.control else 0)
         if most < 2 * SPARE_LINKS:
             raise BadConfigError(f"{files} descriptors are too few")
-        self.means = Means(
+        self.context = ConnectionContext(
             reactor,
             self.clock,
-            self.deadlines,
+            self.timers,
             Pool(BUFFER_SIZE, most),
             Slots(most),
-            Complaints(self.deadlines),
+            RateLimitedLog(self.timers),
             Invariants(),
         )
-        self.hearers = Hearers(self.clock, self.deadlines)
-        self.module = Module(self.clock, self.deadlines)
+        self.hearers = Hearers(self.clock, self.timers)
+        self.module = Module(self.clock, self.timers)
         try:
             self.boxes = BoxList(self.module, self.hearers, settings)
             # Names may be numbers there; on the wire they are words.
@@ -110,7 +112,7 @@
             known = self.boxes.known_at_start(orders.known["members"])
             self.watching = Watch(
                 reactor,
-                self.deadlines,
+                self.timers,
                 orders.discovery,
                 int(orders.known["revision"]),
                 facts.ask_every,
@@ -121,7 +123,7 @@
                 self.boxes.start_times.list_current,
             )
             self.tunnels = Tunnels(
-                self.means,
+                self.context,
                 self.module,
                 self.boxes,
                 self.hearers,
@@ -134,7 +136,7 @@
             )
             goals = [row.setup_goal for row in facts.profiles]
             self.backends = Backends(
-                self.means,
+                self.context,
                 self.tunnels,
                 self.probe_over,
                 ReportReader(settings),
@@ -151,15 +153,14 @@
             raise BadConfigError(f"the settings can't be used: {why!r}") from why
         slow = facts.tightest // 3 if tells else 0
         self.reported, in_lines = (Delays(self.clock, slow, self.delay_told) for _ in range(2))
-        self.tunnels.join(self.backends, Echoes(self.clock, self.deadlines, in_lines, self.tunnels.silent))
+        self.tunnels.join(self.backends, Echoes(self.clock, self.timers, in_lines, self.tunnels.silent))
         self.module.join(self.tunnels, self.backends, self.boxes, self.watching)
-        self.front: Front = Listener(self.means, self.tunnels)
-        self.service = Service(
-            self.deadlines, self.module, self.boxes, self.tunnels, self.backends, self.front
-        )
-        self.audit = Audit(self.deadlines, self.tunnels, self.means.invariants)
+        self.front: Front = Listener(self.context, self.tunnels)
+        self.service = Service(self.timers, self.module, self.boxes, self.tunnels, self.backends, self.front)
+        self.audit = Audit(self.timers, self.tunnels, self.context.invariants)
         self.handover: Handover | None = None
         self.ended = False
+        self._reload_again: Timer | None = None
         self.listeners: list[Hearer] = []
         self.module.start(facts, balancer)
         self.boxes.take_in(ListForm.RESTORED, orders.known["members"])
@@ -174,7 +175,7 @@
 
             folder = Path(os.environ.get("TMPDIR") or gettempdir())
             self.handover = Handover(
-                self.means,
+                self.context,
                 folder,
                 orders.name,
                 self.service,
@@ -186,7 +187,7 @@
         if orders.control is not None:
             from cedarledge.net.control import Control
 
-            Control(self.means, self.service, self.handover).open(orders.control)
+            Control(self.context, self.service, self.handover).open(orders.control)
         if self.handover is not None:
             self.handover.take_over()
         self.front.open(orders.listen, orders.inherited)
@@ -220,9 +221,15 @@
         """SIGHUP: what can change while connections are held is where the list is, and the operator's file.
         All else takes a restart, and a file that can't be used changes nothing: the operator sees why, the
         clients nothing."""
+        self.timers.cancel(self._reload_again)
         try:
             orders = read_orders(os.environ)
             wanted = read_operator_file() if read_operator_file is not None else None
+        except ShortageError as why:
+            # A change told at the new place counts within seconds, whatever this machine lacks.
+            self.context.rate_limited_log.about("configuration", f"tried again: {why}")
+            self._reload_again = self.timers.after(RELOAD_AGAIN, self.reload, read_operator_file)
+            return
         except BadConfigError as why:
             logger.error("the new configuration can't be used, the old one stays: {}", why)
             return
@@ -262,15 +269,15 @@
         if not self.service.replaced and self.tunnels.refugees.read(self.clock()) > REFUGEES * held:
             wait = int(LATE * self.stop_within)
             within = self.stop_within + KILL_LATER - wait
-        self.deadlines.after(wait, self.module.tell, self.module.balancer.stopping, within)
+        self.timers.after(wait, self.module.tell, self.module.balancer.stopping, within)
         # Where this process was paused, connections that came meanwhile wait to be accepted, and lines to be
         # read: looked at first, as the end would reset them without an answer.
-        self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, self.clock() + newcomers_for)
-        self.deadlines.after_reading(self.stop_within + KILL_LATER, self._answer_all, LAST_LOOKS)
+        self.timers.after_reading(STOP_LOOK, self._end_if_empty, self.clock() + newcomers_for)
+        self.timers.after_reading(self.stop_within + KILL_LATER, self._answer_all, LAST_LOOKS)
 
     def _end_if_empty(self, earliest: int) -> None:
-        if self.means.links.used > len(self.backends.probes) or self.clock() < earliest:
-            self.deadlines.after_reading(STOP_LOOK, self._end_if_empty, earliest)
+        if self.context.links.used > len(self.backends.probes) or self.clock() < earliest:
+            self.timers.after_reading(STOP_LOOK, self._end_if_empty, earliest)
         else:
             self._end()
 
@@ -283,18 +290,18 @@
             return
         self.tunnels.end_all()
         self.front.turn_away()
-        self.deadlines.after(STOP_LOOK, self._answer_all, looks - 1)
+        self.timers.after(STOP_LOOK, self._answer_all, looks - 1)
 
     def _end(self) -> None:
         if self.ended:
             return
         self.ended = True
-        logger.info("ends, {} connections held", self.means.links.used - len(self.backends.probes))
+        logger.info("ends, {} connections held", self.context.links.used - len(self.backends.probes))
         self.audit.end()
         self.watching.let_go()
         if self.handover is not None:
             self.handover.end()
-        self.means.reactor.stop()
+        self.context.reactor.stop()
 
 
 def run(
--- a/cedarledge/net/service.py
+++ b/cedarledge/net/service.py
@@ -6,9 +6,9 @@
 
 from cedarledge.net.backends import Backends
 from cedarledge.net.boxlist import BoxList
-from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.module import Module
 from cedarledge.net.seams import Front
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.terms import MS
 
@@ -26,14 +26,14 @@
 
     def __init__(
         self,
-        deadlines: Deadlines,
+        timers: Timers,
         module: Module,
         boxes: BoxList,
         tunnels: Tunnels,
         backends: Backends,
         front: Front,
     ) -> None:
-        self.deadlines = deadlines
+        self.timers = timers
         self.module = module
         self.boxes = boxes
         self.tunnels = tunnels
@@ -42,7 +42,7 @@
         self.opened = False  # the clients' listener
         self.ending = self.replaced = False  # this process, by a newer one
         self.takes_over = False  # while the process before is still there
-        self._sweep: Deadline | None = None
+        self._sweep: Timer | None = None
         # By the names that they have between two processes.
         self.calls = {
             "out-of-service": self.go_out,
@@ -73,7 +73,7 @@
         logger.info("out of service: {} tunnels are sent away", self.tunnels.table.used)
         if not self.ending:
             self.module.tell(self.module.balancer.stopping, EMPTY_WITHIN)
-            self._sweep = self.deadlines.after_reading(ANSWER_ALL_AFTER, self.tunnels.end_all)
+            self._sweep = self.timers.after_reading(ANSWER_ALL_AFTER, self.tunnels.end_all)
 
     def come_in(self) -> None:
         if not self.front.away:
@@ -81,17 +81,17 @@
         self.front.away = False
         logger.info("in service again with {} tunnels", self.tunnels.table.used)
         if not self.ending:
-            self.deadlines.cancel(self._sweep)
+            self.timers.cancel(self._sweep)
             self.module.tell(self.module.balancer.staying)
 
     def take_out(self, name: str) -> None:
         ep = self._known(name)
         # The list's word first: whoever waits for a look at it is then placed elsewhere.
-        self.boxes.ban(ep, self.deadlines.now())
+        self.boxes.ban(ep, self.timers.now())
         self.backends.no_probes(ep)
 
     def put_back(self, name: str) -> None:
-        self.boxes.put_back(self._known(name), self.deadlines.now())
+        self.boxes.put_back(self._known(name), self.timers.now())
 
     def _known(self, name: str) -> int:
         ep = self.boxes.known(name)
--- a/cedarledge/net/deadlines.py
+++ b/cedarledge/net/timers.py
@@ -1,4 +1,4 @@
-"""The relay's clock, and all its deadlines in one ordered structure behind one reactor call."""
+"""The relay's clock, and all its timers in one ordered structure behind one reactor call."""
 
 from __future__ import annotations
 
@@ -27,7 +27,7 @@
     return lambda: time.monotonic_ns() + offset
 
 
-class Deadline:
+class Timer:
     """A call that is due at a time, unless it is cancelled before."""
 
     __slots__ = ("args", "at", "call", "order", "reads_first")
@@ -39,15 +39,15 @@
         self.args = args
         self.reads_first = False
 
-    def __lt__(self, other: Deadline) -> bool:
+    def __lt__(self, other: Timer) -> bool:
         return (self.at, self.order) < (other.at, other.order)
 
 
-class Deadlines:
+class Timers:
     def __init__(self, reactor: IReactorTime, clock: Callable[[], int]) -> None:
         self._reactor = reactor
         self._clock = clock
-        self._heap: list[Deadline] = []
+        self._heap: list[Timer] = []
         self._orders = count()
         self._cancelled = 0
         self._armed: IDelayedCall | None = None
@@ -60,23 +60,23 @@
         return len(self._heap) - self._cancelled
 
     def now(self) -> int:
-        """The time that deadlines are counted by."""
+        """The time that timers are counted by."""
         return self._clock()
 
-    def after(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
+    def after(self, delay: int, call: Callable[..., None], *args: Any) -> Timer:
         now = self._clock()
-        deadline = Deadline(now + max(0, delay), next(self._orders), call, args)
-        heappush(self._heap, deadline)
-        if self._heap[0] is deadline:
+        timer = Timer(now + max(0, delay), next(self._orders), call, args)
+        heappush(self._heap, timer)
+        if self._heap[0] is timer:
             self._arm()
         elif now - self._armed_at > STUCK and not self._is_suspect and self._armed is not None:
             # Where this process was paused it comes before the call that is asked for now.
             self._is_suspect = True
             self._reactor.callLater(0, self._check_stuck, self._armed)
-        return deadline
+        return timer
 
     def _check_stuck(self, armed: IDelayedCall) -> None:
-        """A first deadline whose call does not come would hold up all others: it is asked for anew."""
+        """A first timer whose call does not come would hold up all others: it is asked for anew."""
         self._is_suspect = False
         if self._armed is armed:
             self.stuck(self._clock() - self._armed_at)
@@ -84,21 +84,21 @@
             self._armed = None
             self._arm()
 
-    def after_reading(self, delay: int, call: Callable[..., None], *args: Any) -> Deadline:
+    def after_reading(self, delay: int, call: Callable[..., None], *args: Any) -> Timer:
         """As after, for what gives up waiting for a peer. Where this process itself was late, paused or
-        busy, the peer's answer may have come meanwhile and lie unread: the reactor looks at deadlines first.
+        busy, the peer's answer may have come meanwhile and lie unread: the reactor looks at timers first.
         So the call then waits until what has come is read, once."""
-        deadline = self.after(delay, call, *args)
-        deadline.reads_first = True
-        return deadline
+        timer = self.after(delay, call, *args)
+        timer.reads_first = True
+        return timer
 
-    def cancel(self, deadline: Deadline | None) -> None:
-        if deadline is None or deadline.call is None:
+    def cancel(self, timer: Timer | None) -> None:
+        if timer is None or timer.call is None:
             return
-        deadline.call = None
-        deadline.args = ()
+        timer.call = None
+        timer.args = ()
         self._cancelled += 1
-        # Most deadlines are cancelled long before they are due: left in, they would pile up.
+        # Most timers are cancelled long before they are due: left in, they would pile up.
         if self._cancelled > 64 and 2 * self._cancelled > len(self._heap):
             self._heap = [kept for kept in self._heap if kept.call is not None]
             heapify(self._heap)
@@ -117,20 +117,20 @@
         self._armed = None
         now = self._clock()
         while self._heap and self._heap[0].at <= now:
-            deadline = heappop(self._heap)
-            if deadline.reads_first and now - deadline.at > LATE and deadline.call is not None:
-                deadline.reads_first = False
-                deadline.at = now + LOOK_AGAIN
-                heappush(self._heap, deadline)
+            timer = heappop(self._heap)
+            if timer.reads_first and now - timer.at > LATE and timer.call is not None:
+                timer.reads_first = False
+                timer.at = now + LOOK_AGAIN
+                heappush(self._heap, timer)
                 continue
-            call, args, deadline.call = deadline.call, deadline.args, None
+            call, args, timer.call = timer.call, timer.args, None
             if call is None:
                 self._cancelled -= 1
                 continue
             try:
                 call(*args)
             except Exception:
-                # The other deadlines must not be lost with the one that failed.
-                logger.exception("a deadline's call failed")
+                # The other timers must not be lost with the one that failed.
+                logger.exception("a timer's call failed")
         if self._heap:
             self._arm()
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -13,7 +13,7 @@
 from cedarledge.net.echoes import Echo, Echoes
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.lines import figure
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
 from cedarledge.net.module import Module
 from cedarledge.net.request_guard import RequestGuard, RequestLog
 from cedarledge.net.seams import ClientEnd
@@ -75,7 +75,7 @@
 
     def __init__(
         self,
-        means: Means,
+        context: ConnectionContext,
         module: Module,
         boxes: BoxList,
         hearers: Hearers,
@@ -86,10 +86,10 @@
         connect_within: int,
         classes: Sequence[ProfileRow] = (),
     ) -> None:
-        self.means = means
-        self.guard = RequestGuard(means.invariants, means.clock, classes, boxes.listed, boxes.eps.names)
-        self.clock = means.clock
-        self.deadlines = means.deadlines
+        self.context = context
+        self.guard = RequestGuard(context.invariants, context.clock, classes, boxes.listed, boxes.eps.names)
+        self.clock = context.clock
+        self.timers = context.timers
         self.module = module
         self.boxes = boxes
         self.hearers = hearers
@@ -125,7 +125,7 @@
 
     def _not_sent(self, tun: int, ep: int) -> None:
         """Tells the module once it is through with what it does now."""
-        self.deadlines.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
+        self.timers.after(0, self.setup_over, tun, ep, Outcome.NOT_SENT, 0, None, False)
 
     def _set_up(self, tun: int, ep: int, timeout: int, connect_within: int) -> None:
         tunnel = self.table.get(tun)
@@ -143,13 +143,13 @@
             self.close_with_error(tun)
             return
         tunnel.client.decline(come_back)
-        self.means.complaints.about("rejected", lambda: self.guard.story(tunnel.request))
+        self.context.rate_limited_log.about("rejected", lambda: self.guard.story(tunnel.request))
         self._answered(tun, True)
 
     def close_with_error(self, tun: int) -> None:
         tunnel = self.table.get(tun)
         tunnel.client.fail()
-        self.means.complaints.about("failed", lambda: self.guard.story(tunnel.request))
+        self.context.rate_limited_log.about("failed", lambda: self.guard.story(tunnel.request))
         self._answered(tun, False)
 
     def move(self, tun: int) -> None:
@@ -166,7 +166,7 @@
         setup.call_off()
         self.hearers.tell("moved", tun, setup.ep)
         # The module is in the midst of moving, so it hears of the end afterwards.
-        self.deadlines.after(0, self._moved, tun, setup.ep, self.clock() - setup.began)
+        self.timers.after(0, self._moved, tun, setup.ep, self.clock() - setup.began)
 
     # -- what the clients' side tells --------------------------------------------------------------
 
@@ -188,7 +188,7 @@
         try:
             tun = self.table.take(tunnel)
         except FullError:
-            self.means.complaints.about("client", "no slot is left for a tunnel")
+            self.context.rate_limited_log.about("client", "no slot is left for a tunnel")
             client.decline(0)
             return -1
         self.ids.add(opening.id)
@@ -266,7 +266,7 @@
             if age < ADOPT_AGAIN:
                 # The first call may be put off, as all relays start together; who waits for it may not.
                 self.module.watch()
-            self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+            self.timers.after(ADOPT_AGAIN, self._adopt, tun)
 
     # -- what the backends' side tells -------------------------------------------------------------
 
@@ -332,7 +332,7 @@
             try:
                 load = figure(line[5:].decode("ascii"))
             except ValueError:
-                self.means.complaints.about("backend", f"no load: {line[:80]!r}")
+                self.context.rate_limited_log.about("backend", f"no load: {line[:80]!r}")
                 continue
             self.module.tell(self.module.balancer.load_told, tun, load)
 
@@ -367,7 +367,7 @@
             # Where others have come already the run has begun, which it does not while one of these waits:
             # only a stranger asks now, and is not to hold a slot and press a backend for as long.
             if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT) and not self.begun:
-                self.deadlines.after(ADOPT_AGAIN, self._adopt, tun)
+                self.timers.after(ADOPT_AGAIN, self._adopt, tun)
             else:
                 self.close_with_error(tun)
             return
--- a/cedarledge/peers/shell.py
+++ b/cedarledge/peers/shell.py
@@ -31,7 +31,7 @@
 
 
 class Timers(Protocol):
-    """The relay's deadlines, as far as they are needed; delays are ns."""
+    """The relay's timers, as far as they are needed; delays are ns."""
 
     def now(self) -> int: ...
     def after(self, delay: int, call: Callable[..., None], *args: Any) -> object: ...
--- a/cedarledge/rig/looks.py
+++ b/cedarledge/rig/looks.py
@@ -37,7 +37,7 @@
         for relay in range(self.run.plan.relays):
             self.held.pop(relay, None)
             self._ask(relay, 0)
-        self.run.deadlines.after(LOOK_EVERY, self._look)
+        self.run.timers.after(LOOK_EVERY, self._look)
 
     def _ask(self, relay: int, first: int) -> None:
         own = f"{asker_address()}:{self.run.port}"
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -22,8 +22,8 @@
 from cedarledge.faults.preload import joined
 from cedarledge.faults.system_calls import SystemCallFaults
 from cedarledge.faults.wall_clock import WallClock
-from cedarledge.net.deadlines import Deadline, Deadlines
 from cedarledge.net.reactor import install_reactor
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.rig.variants import Variant
 from cedarledge.standins.books import Book, Late, Life, read_books
 from cedarledge.standins.clients import Ping, connect
@@ -124,7 +124,7 @@
         self.log = path.open("ab")
         self.over = False
         self.restarts = False
-        self.due: Deadline | None = None
+        self.due: Timer | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         self._ask()
@@ -139,9 +139,9 @@
 
     def _ask(self) -> None:
         if self.ready is None and not self.over:
-            ping = Ping(self.run.deadlines, self._answers)
+            ping = Ping(self.run.timers, self._answers)
             connect(self.run.reactor, self.relay, self.run.port, ping, lambda _why: None)
-            self.run.deadlines.after(READY_EVERY, self._ask)
+            self.run.timers.after(READY_EVERY, self._ask)
 
     def _answers(self) -> None:
         if self.ready is None:
@@ -151,7 +151,7 @@
         if self.over:
             return
         self.measure()
-        self.run.deadlines.after(SAMPLE_EVERY, self._sample)
+        self.run.timers.after(SAMPLE_EVERY, self._sample)
 
     def measure(self) -> None:
         """What the system says that it has used: processor time in ns, peak memory in KB."""
@@ -183,13 +183,11 @@
         self.restarts = True
         self.end("stopped", "TERM")
         longest = max(profile.client_timeout for profile in self.run.plan.profiles)
-        self.due = self.run.deadlines.after(
-            min(LONGEST_STOP, longest) + KILL_LATER, self.end, "overran", "KILL"
-        )
+        self.due = self.run.timers.after(min(LONGEST_STOP, longest) + KILL_LATER, self.end, "overran", "KILL")
 
     def processEnded(self, reason: Any) -> None:  # noqa: N802
         self.over = True
-        self.run.deadlines.cancel(self.due)
+        self.run.timers.cancel(self.due)
         code = reason.value.exitCode
         code = -(reason.value.signal or 0) if code is None else code
         how = self.how
@@ -200,7 +198,7 @@
         )
         self.log.close()
         if self.restarts:
-            self.run.deadlines.after(RESTART_AFTER, self.run.start_relay, self.relay)
+            self.run.timers.after(RESTART_AFTER, self.run.start_relay, self.relay)
 
 
 class Run:
@@ -229,11 +227,11 @@
         lead += START_A_RELAY * plan.relays
         self.begin = time.monotonic_ns() + lead
         self.begin_unix_ms = (time.time_ns() + lead) // MS
-        self.deadlines = Deadlines(reactor, self.now)
+        self.timers = Timers(reactor, self.now)
         self.books = [folder / "rig.book"]
         self.book = Book(self.books[0])
-        self.lateness = Lateness(self.deadlines, self.now)
-        stage = Stage(reactor, self.deadlines, self.now, plan, self.port, self.book)
+        self.lateness = Lateness(self.timers, self.now)
+        stage = Stage(reactor, self.timers, self.now, plan, self.port, self.book)
         self.discovery = Discovery(stage, self.begin_unix_ms)
         self.workers: list[WorkerProcess] = []
         self.relays: dict[int, RelayProcess] = {}
@@ -280,7 +278,7 @@
             )
         for relay in range(self.plan.relays):
             self.start_relay(relay)
-        self.deadlines.after(-self.now(), self._begin)
+        self.timers.after(-self.now(), self._begin)
 
     def start_relay(self, relay: int, under: int | None = None) -> None:
         """`under`: with the name of that other one."""
@@ -343,9 +341,9 @@
         self.discovery.begin()
         for act in self.plan.acts:
             if act.who == "relay":
-                self.deadlines.after(act.at - self.now(), self._played, act)
+                self.timers.after(act.at - self.now(), self._played, act)
         self._second(1)
-        self.deadlines.after(int(self.plan.seconds * SECOND) + 100 * MS - self.now(), self._end)
+        self.timers.after(int(self.plan.seconds * SECOND) + 100 * MS - self.now(), self._end)
 
     def _played(self, act: Act) -> None:
         process = self.relays[act.which]
@@ -366,7 +364,7 @@
             self.start_relay(act.which, act.relay if act.relay >= 0 else None)
 
     def _second(self, second: int) -> None:
-        self.deadlines.after(second * SECOND + 150 * MS - self.now(), self._tell, second)
+        self.timers.after(second * SECOND + 150 * MS - self.now(), self._tell, second)
 
     def _tell(self, second: int) -> None:
         if self.progress is not None:
@@ -388,17 +386,17 @@
     def _end(self) -> None:
         # Stand-ins end a little after the clients, relays after them: who ends first is seen as a cut by the
         # rest.
-        self.deadlines.after(SETTLE, self._end_relays)
+        self.timers.after(SETTLE, self._end_relays)
 
     def _end_relays(self) -> None:
         for process in self.relays.values():
             process.restarts = False
             process.end("over", "KILL")
-        self.deadlines.after(300 * MS, self._close)
+        self.timers.after(300 * MS, self._close)
 
     def _close(self) -> None:
         if not all(process.over for process in (*self.relays.values(), *self.workers)):
-            self.deadlines.after(100 * MS, self._close)
+            self.timers.after(100 * MS, self._close)
             return
         self.book.write(Late("rig", self.lateness.worst, self.lateness.at))
         self.reactor.stop()
@@ -415,7 +413,7 @@
                 with contextlib.suppress(Exception):
                     worker.transport.signalProcess("KILL")
         if self.reactor.running:
-            self.deadlines.after(200 * MS, self.reactor.stop)
+            self.timers.after(200 * MS, self.reactor.stop)
 
 
 def run_plan(
--- a/cedarledge/scale/hollow_worker.py
+++ b/cedarledge/scale/hollow_worker.py
@@ -18,8 +18,8 @@
 from loguru import logger
 
 from cedarledge import __version__
-from cedarledge.net.deadlines import Deadlines, steady_clock
 from cedarledge.net.reactor import install_reactor
+from cedarledge.net.timers import Timers, steady_clock
 from cedarledge.peers.messages import State, Value
 from cedarledge.scale.counting import CountingPeers, CountingShell, Traffic, changing_load
 from cedarledge.scale.policy_host import PolicyHost
@@ -73,21 +73,21 @@
         self.name = f"relay-{place}"
         self.state = "ready"
         address = worker.spec.addresses[place]
-        self.shell = CountingShell(worker.reactor, worker.deadlines, address, self.tells)
+        self.shell = CountingShell(worker.reactor, worker.timers, address, self.tells)
         seed = int.from_bytes(os.urandom(8), "big")
         seeds = worker.spec.addresses[:3]
         self.machine = CountingPeers(self.shell, "scale", self.name, address, seeds, seed=seed)
         relays = len(worker.spec.addresses)
-        now = worker.deadlines.now()
+        now = worker.timers.now()
         self.policy = PolicyHost(now, place, relays, worker.spec.backends, self.wake)
         self.knows_change = False
 
     def wake(self, delay: int, token: int) -> None:
         """Wakes this relay's policy."""
-        self.worker.deadlines.after(delay, self._woke, token)
+        self.worker.timers.after(delay, self._woke, token)
 
     def _woke(self, token: int) -> None:
-        self.policy.woke(self.worker.deadlines.now(), token)
+        self.policy.woke(self.worker.timers.now(), token)
 
     def tells(self) -> dict[str, Value]:
         """As fleet.py, with connections that come and go."""
@@ -117,7 +117,7 @@
         self.spec = spec
         self.begin = begin
         self.reactor = install_reactor()
-        self.deadlines = Deadlines(self.reactor, steady_clock())
+        self.timers = Timers(self.reactor, steady_clock())
         self.result = WorkerResult(spec.count, base_bytes=resident_bytes())
         self.relays: list[HollowRelay] = []
         self._before = Traffic()
@@ -136,7 +136,7 @@
         self.reactor.run()
 
     def _at(self, when: int, call: Any) -> None:
-        self.deadlines.after(self.begin + when - time.monotonic_ns(), call)
+        self.timers.after(self.begin + when - time.monotonic_ns(), call)
 
     def _passed(self) -> int:
         return time.monotonic_ns() - self.begin
@@ -153,7 +153,7 @@
         if self._whole() == self.spec.count:
             self.result.whole_after = self._passed()
         elif self._passed() < self.spec.calm_from:
-            self.deadlines.after(LOOK_EVERY, self._look)
+            self.timers.after(LOOK_EVERY, self._look)
 
     def _sum(self) -> Traffic:
         total = Traffic()
@@ -188,7 +188,7 @@
             if not relay.knows_change and relay.place and relay.has_heard("relay-0"):
                 relay.knows_change = True
                 self.result.change_known.append(self._passed() - self.spec.calm_to)
-        self.deadlines.after(CHANGE_LOOK_EVERY, self._look_for_change)
+        self.timers.after(CHANGE_LOOK_EVERY, self._look_for_change)
 
     def _end(self) -> None:
         sys.stdout.buffer.write(msgspec.json.encode(self.result))
--- a/cedarledge/standins/boxes.py
+++ b/cedarledge/standins/boxes.py
@@ -199,7 +199,7 @@
         return self.fleet.now()
 
     def after(self, delay: int, call: Callable[..., None], *args: Any) -> None:
-        self.fleet.deadlines.after(delay, call, *args)
+        self.fleet.timers.after(delay, call, *args)
 
     # -- up and down -------------------------------------------------------------------------------
 
@@ -356,13 +356,13 @@
         for act in self.plan.acts:
             box = self.boxes.get(act.which)
             if act.who == "box" and box is not None:
-                self.deadlines.after(act.at - self.now(), box.played, act)
+                self.timers.after(act.at - self.now(), box.played, act)
         self._tick(0)
 
     def _tick(self, second: int) -> None:
         for box in self.boxes.values():
             box.look(second)
-        self.deadlines.after((second + 1) * SECOND - self.now(), self._tick, second + 1)
+        self.timers.after((second + 1) * SECOND - self.now(), self._tick, second + 1)
 
     def close(self) -> None:
         """What is still open at the end of the run is written down as it is."""
--- a/cedarledge/standins/clients.py
+++ b/cedarledge/standins/clients.py
@@ -18,7 +18,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from cedarledge.net.deadlines import Deadline, Deadlines
+from cedarledge.net.timers import Timer, Timers
 from cedarledge.standins.books import Call, Rude, Second
 from cedarledge.standins.plan import BAD_ID, Act, relay_address
 from cedarledge.standins.stage import Player, Stage
@@ -44,13 +44,13 @@
 
     transport: Any
 
-    def __init__(self, deadlines: Deadlines, heard: Callable[[], None]) -> None:
-        self.deadlines = deadlines
+    def __init__(self, timers: Timers, heard: Callable[[], None]) -> None:
+        self.timers = timers
         self.heard = heard
 
     def connectionMade(self) -> None:  # noqa: N802
         self.transport.write(b"PING\r\n")
-        self.deadlines.after(CONNECT_WITHIN, self._too_late)
+        self.timers.after(CONNECT_WITHIN, self._too_late)
 
     def _too_late(self) -> None:
         if self.transport.connected:
@@ -74,7 +74,7 @@
     def begin(self) -> None:
         for act in self.plan.acts:
             if act.who == "relay" and act.what == "stop":
-                self.deadlines.after(act.at + self.chance.randint(*STOP_SEEN) - self.now(), self._stops, act)
+                self.timers.after(act.at + self.chance.randint(*STOP_SEEN) - self.now(), self._stops, act)
         for relay in range(self.plan.relays):
             self._ask(relay)
 
@@ -84,8 +84,8 @@
 
     def _ask(self, relay: int) -> None:
         every = self.plan.client_terms.front_every
-        self.deadlines.after(int(every * (0.8 + 0.4 * self.chance.random())), self._ask, relay)
-        ping = Ping(self.deadlines, partial(self.pong, relay))
+        self.timers.after(int(every * (0.8 + 0.4 * self.chance.random())), self._ask, relay)
+        ping = Ping(self.timers, partial(self.pong, relay))
         connect(self.reactor, relay, self.port, ping, lambda _why: self.stopping.discard(relay))
 
     def pong(self, relay: int) -> None:
@@ -230,7 +230,7 @@
         self.leaves = leaves
         self.counted = crowd.now()  # its wishes are accounted for up to here
         self.link: CallLink | None = None
-        self.due: Deadline | None = None
+        self.due: Timer | None = None
         self.tries = 0
         self.number = 0
         self.sent_at = -1
@@ -251,8 +251,8 @@
         self._wait(wait, self._gives_up, link)
 
     def _wait(self, delay: int, then: Callable[..., None], *args: Any) -> None:
-        self.crowd.deadlines.cancel(self.due)
-        self.due = self.crowd.deadlines.after(delay, then, *args)
+        self.crowd.timers.cancel(self.due)
+        self.due = self.crowd.timers.after(delay, then, *args)
 
     def _unreached(self, link: CallLink) -> None:
         if link is self.link and not link.over:
@@ -262,7 +262,7 @@
 
     def _gives_up(self, link: CallLink) -> None:
         link.call.word = "GAVE_UP"
-        self.crowd.deadlines.after(LISTEN_ON, link.leave, "gave up")
+        self.crowd.timers.after(LISTEN_ON, link.leave, "gave up")
         self.refused(0)
 
     def opened(self) -> None:
@@ -335,7 +335,7 @@
             self._wait(self.crowd.chance.randint(0, SECOND), self._again, True)
 
     def _leave(self) -> None:
-        self.crowd.deadlines.cancel(self.due)
+        self.crowd.timers.cancel(self.due)
         if self.link is not None:
             self.link.leave("left")
             self.link = None
@@ -382,17 +382,17 @@
         self.front.begin()
         for act in self.plan.acts:
             if act.who == "clients":
-                self.deadlines.after(act.at - self.now(), self._played, act)
+                self.timers.after(act.at - self.now(), self._played, act)
         terms = self.plan.client_terms
         mine = terms.standing // self.parts + (self.part < terms.standing % self.parts)
         for number in range(mine):
-            self.deadlines.after(terms.ramp * number // max(1, mine), self._comes)
+            self.timers.after(terms.ramp * number // max(1, mine), self._comes)
         # The crowd that stands already has its part of newcomers: who leaves is replaced.
-        self.deadlines.after(terms.ramp, self._next)
+        self.timers.after(terms.ramp, self._next)
 
     def _next(self) -> None:
         rate = self.plan.client_terms.rate / self.parts
-        self.deadlines.after(int(self.chance.expovariate(rate) * SECOND), self._next)
+        self.timers.after(int(self.chance.expovariate(rate) * SECOND), self._next)
         self._comes()
 
     def _comes(self) -> None:
@@ -424,7 +424,7 @@
     def _rude(self) -> None:
         if not self.rude_rate:
             return
-        self.deadlines.after(int(self.chance.expovariate(self.rude_rate) * SECOND), self._rude)
+        self.timers.after(int(self.chance.expovariate(self.rude_rate) * SECOND), self._rude)
         kind = self.chance.choice(tuple(RUDE))
         relay = self.front.pick()
         self.count("rude")
@@ -496,7 +496,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         self.entry.at = self.crowd.now()
         self.transport.write(RUDE[self.entry.kind](f"{BAD_ID}{self.crowd.chance.getrandbits(48):x}"))
-        self.crowd.deadlines.after(6 * SECOND, self._too_late)
+        self.crowd.timers.after(6 * SECOND, self._too_late)
 
     def _too_late(self) -> None:
         if self.transport.connected:
--- a/cedarledge/standins/discovery.py
+++ b/cedarledge/standins/discovery.py
@@ -94,7 +94,7 @@
     def begin(self) -> None:
         for act in self.plan.acts:
             if act.who == "list":
-                self.deadlines.after(act.at - self.now(), self._played, act)
+                self.timers.after(act.at - self.now(), self._played, act)
 
     def _played(self, act: Act) -> None:
         if act.what == "late":
@@ -117,7 +117,7 @@
         self.history = [*self.history, (self.revision, act.which)][-MOST_CHANGES:]
         for link in [link for link in self.links if link.since >= 0]:
             self._answer(link, link.since)
-        self.deadlines.after(TOLD_BY, self._must_know, self.revision, act.which, act.what)
+        self.timers.after(TOLD_BY, self._must_know, self.revision, act.which, act.what)
 
     def _must_know(self, revision: int, box: int, phase: str) -> None:
         """A relay that has not asked for so long counts as told: it may not shut its ears."""
@@ -138,7 +138,7 @@
             self._answer(link, since)
             return
         link.since = since
-        self.deadlines.after(min(60_000, int(query["timeout_ms"][0])) * MS, self._waited, link, link.turn)
+        self.timers.after(min(60_000, int(query["timeout_ms"][0])) * MS, self._waited, link, link.turn)
 
     def _waited(self, link: DiscoveryLink, turn: int) -> None:
         if link in self.links and link.turn == turn:
@@ -147,7 +147,7 @@
     def _answer(self, link: DiscoveryLink, since: int) -> None:
         link.since = -1
         if self.late:
-            self.deadlines.after(self.late, self._write, link, since)
+            self.timers.after(self.late, self._write, link, since)
         else:
             self._write(link, since)
 
--- a/cedarledge/standins/lanes.py
+++ b/cedarledge/standins/lanes.py
@@ -83,7 +83,7 @@
         self.ways_to_others.begin()
         for act in self.plan.acts:
             if act.who == "lane":
-                self.deadlines.after(act.at - self.now(), self._played, act)
+                self.timers.after(act.at - self.now(), self._played, act)
 
     def _played(self, act: Act) -> None:
         way = self.lanes[act.which, act.relay]
@@ -115,7 +115,7 @@
             if way.rate:
                 delay += way.free_at - self.now()
             if delay:
-                self.deadlines.after(delay, self._pass_on, door, data)
+                self.timers.after(delay, self._pass_on, door, data)
             else:
                 self._pass_on(door, data)
 
--- a/cedarledge/standins/stage.py
+++ b/cedarledge/standins/stage.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.timers import Timers
 from cedarledge.standins.books import Book
 from cedarledge.standins.plan import Plan
 
@@ -14,7 +14,7 @@
     """The reactor, the clock in ns after the run's start, and what is played."""
 
     reactor: Any
-    deadlines: Deadlines
+    timers: Timers
     now: Callable[[], int]
     plan: Plan
     port: int  # that everything listens on, each at an address of its own
@@ -27,7 +27,7 @@
     def __init__(self, stage: Stage) -> None:
         self.stage = stage
         self.reactor = stage.reactor
-        self.deadlines = stage.deadlines
+        self.timers = stage.timers
         self.now = stage.now
         self.plan = stage.plan
         self.port = stage.port
--- a/cedarledge/standins/ways.py
+++ b/cedarledge/standins/ways.py
@@ -85,7 +85,7 @@
             if due > now:
                 if not self.armed:
                     self.armed = True
-                    self.ways.deadlines.after(due - now, self._again)
+                    self.ways.timers.after(due - now, self._again)
                 return
             _, data = self.queue.popleft()
             if data is None:
@@ -233,7 +233,7 @@
     def begin(self) -> None:
         for act in self.plan.acts:
             if act.who == "way":
-                self.deadlines.after(act.at - self.now(), self._played, act)
+                self.timers.after(act.at - self.now(), self._played, act)
 
     def _played(self, act: Act) -> None:
         to, _, what = act.what.partition(".")
--- a/cedarledge/standins/worker.py
+++ b/cedarledge/standins/worker.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.reactor import install_reactor
+from cedarledge.net.timers import Timers
 from cedarledge.standins.books import Book, Late
 from cedarledge.standins.boxes import Boxes
 from cedarledge.standins.clients import Crowd
@@ -26,8 +26,8 @@
 class Lateness:
     """How late a process's own timers come: what it measures can be no better."""
 
-    def __init__(self, deadlines: Deadlines, now: Any) -> None:
-        self._deadlines = deadlines
+    def __init__(self, timers: Timers, now: Any) -> None:
+        self._timers = timers
         self._now = now
         self.worst = 0
         self.at = 0
@@ -35,7 +35,7 @@
 
     def begin(self) -> None:
         self._due = self._now() + LATENESS_EVERY
-        self._deadlines.after(LATENESS_EVERY, self._look)
+        self._timers.after(LATENESS_EVERY, self._look)
 
     def _look(self) -> None:
         late = self._now() - self._due
@@ -52,18 +52,18 @@
     def now() -> int:
         return time.monotonic_ns() - post.begin
 
-    deadlines = Deadlines(reactor, now)
+    timers = Timers(reactor, now)
     book = Book(post.book)
     kind = {"boxes": Boxes, "clients": Crowd, "lanes": Lanes}[post.role]
-    player = kind(Stage(reactor, deadlines, now, post.plan, post.port, book), post.part, post.parts)
-    lateness = Lateness(deadlines, now)
+    player = kind(Stage(reactor, timers, now, post.plan, post.port, book), post.part, post.parts)
+    lateness = Lateness(timers, now)
     if not isinstance(player, Crowd):
         player.open()
 
     def tell() -> None:
         print(json.dumps({"role": post.role, "part": post.part} | player.summary()), flush=True)
         book.flush()
-        deadlines.after(SECOND, tell)
+        timers.after(SECOND, tell)
 
     def end() -> None:
         player.close()
@@ -77,9 +77,9 @@
         tell()
 
     print("ready", flush=True)
-    deadlines.after(-now(), begin)
+    timers.after(-now(), begin)
     # Boxes go on for a little, so that what the clients' end sets off is still seen.
-    deadlines.after(
+    timers.after(
         int(post.plan.seconds * SECOND) + (0 if post.role == "clients" else SECOND // 2) - now(), end
     )
     reactor.run()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -40,14 +40,14 @@
 from twisted.internet.task import Clock
 
 from cedarledge.net.buffers import Pool
-from cedarledge.net.complaints import Complaints
 from cedarledge.net.control import WHOLE_WITHIN
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.handover import HEARD_WITHIN, Handover
 from cedarledge.net.invariants import Invariants
-from cedarledge.net.links import LINGER, Link, Means
+from cedarledge.net.links import LINGER, ConnectionContext, Link
+from cedarledge.net.rate_limited_log import RateLimitedLog
 from cedarledge.net.service import Service
 from cedarledge.net.slots import Slots
+from cedarledge.net.timers import Timers
 from cedarledge.terms import ListForm, Outcome
 
 CHANGE = http(b'{"revision":8,"complete":false,"members":[]}')
@@ -532,8 +532,10 @@
     def now() -> int:
         return round(clock.seconds() * SECOND)
 
-    deadlines = Deadlines(clock, now)
-    link = Link(Means(clock, now, deadlines, Pool(9, 1), Slots(1), Complaints(deadlines), Invariants()))
+    timers = Timers(clock, now)
+    link = Link(
+        ConnectionContext(clock, now, timers, Pool(9, 1), Slots(1), RateLimitedLog(timers), Invariants())
+    )
     link.transport = Wire()
     link.connectionMade()
     link.finish()
@@ -1105,8 +1107,8 @@
     def now() -> int:
         return round(clock.seconds() * SECOND)
 
-    means = SimpleNamespace(reactor=clock, deadlines=Deadlines(clock, now), links=None)
-    handover = Handover(means, tmp_path, "n0", *[None] * 5)
+    context = SimpleNamespace(reactor=clock, timers=Timers(clock, now), links=None)
+    handover = Handover(context, tmp_path, "n0", *[None] * 5)
     peer = handover.after = SimpleNamespace(tell=lambda **line: told.append(line))
     for number in (1, 2):
         handover.pass_on("offline", "a", lambda number=number: done.append(number))
@@ -1158,10 +1160,10 @@
     def now() -> int:
         return round(clock.seconds() * SECOND)
 
-    deadlines = Deadlines(clock, now)
+    timers = Timers(clock, now)
     module = SimpleNamespace(tell=lambda *_: None, balancer=SimpleNamespace(stopping=None))
     tunnels = SimpleNamespace(table=SimpleNamespace(used=1), end_all=lambda: swept.append(now()))
-    service = Service(deadlines, module, None, tunnels, None, SimpleNamespace(away=False))
+    service = Service(timers, module, None, tunnels, None, SimpleNamespace(away=False))
     service.go_out()
     clock.advance(5)
     assert not swept, "answers may lie unread"
--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -179,7 +179,7 @@
     told = WHOLE | {"profiles": [row | {"client_timeout": deadline * 1000} for row in WHOLE["profiles"]]}
     relay, reactor = assembled(told, monkeypatch)
     for _ in range(held):
-        relay.means.links.take(SimpleNamespace())
+        relay.context.links.take(SimpleNamespace())
     relay.stop()
     killed = min(3.0, deadline / 1000) + 0.7
     spent = 0.0
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -11,9 +11,9 @@
 from pytest import fixture, mark
 from twisted.internet.task import Clock
 
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.invariants import Invariant, Invariants
 from cedarledge.net.request_guard import GRACE, RequestGuard, RequestLog
+from cedarledge.net.timers import Timers
 from cedarledge.terms import Outcome
 
 # Places of the classes that `helpers.facts` has.
@@ -122,15 +122,15 @@
 def test_deadlines_that_the_reactor_forgets_are_called_and_counted() -> None:
     """As a step back of the wall clock left them: asked for, and never called."""
     reactor, called, stuck = Clock(), [], []
-    deadlines = Deadlines(reactor, lambda: round(reactor.seconds() * SECOND))
-    deadlines.stuck = stuck.append
-    deadlines.after(100 * MS, called.append, "first")
+    timers = Timers(reactor, lambda: round(reactor.seconds() * SECOND))
+    timers.stuck = stuck.append
+    timers.after(100 * MS, called.append, "first")
     reactor.calls[0].time += 3600
     reactor.advance(0.5)
-    deadlines.after(SECOND, called.append, "second")
+    timers.after(SECOND, called.append, "second")
     reactor.advance(0.7)
     assert not called and not stuck
-    deadlines.after(SECOND, called.append, "third")
+    timers.after(SECOND, called.append, "third")
     reactor.pump([0.0, 0.0])
     assert called == ["first"] and stuck == [1100 * MS]
     reactor.pump([0.3, 0.7])
--- a/tests/test_lint_clock.py
+++ b/tests/test_lint_clock.py
@@ -11,7 +11,7 @@
 FILE_TIMES = {"st_mtime", "st_mtime_ns", "st_ctime", "st_ctime_ns", "st_atime", "st_atime_ns"}
 # Who may, and why: the relay's clock is set to Unix time once, the audit looks for steps, and a run is told
 # in Unix time when it begins.
-ALLOWED = {"net/deadlines.py", "net/audit.py", "rig/run.py"}
+ALLOWED = {"net/timers.py", "net/audit.py", "rig/run.py"}
 REACTOR = "twisted.internet"
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,15 +21,15 @@
 from cedarledge.net.backends import Backends
 from cedarledge.net.buffers import NoBufferError, Pool
 from cedarledge.net.clients import MOST_LOAD, MalformedError, read_opening
-from cedarledge.net.complaints import MOST, Complaints
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.discovery import HttpError, HttpReader
 from cedarledge.net.echoes import SILENT, Delays, Echo, Echoes
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE, LONGEST, Lines, OverlongError
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
 from cedarledge.net.paces import Paces
+from cedarledge.net.rate_limited_log import MOST, RateLimitedLog
 from cedarledge.net.slots import FullError, Slots
+from cedarledge.net.timers import Timers
 from cedarledge.settings import ReportReader
 from cedarledge.terms import Outcome
 
@@ -115,15 +115,15 @@
 @often
 def test_deadlines_come_in_order_at_their_time_unless_cancelled(plan: list[tuple[int, bool, int]]) -> None:
     clock = Clock()
-    deadlines = Deadlines(clock, lambda: int(clock.seconds()) * SECOND)
+    timers = Timers(clock, lambda: int(clock.seconds()) * SECOND)
     due: list[tuple[int, int]] = []
     got: list[tuple[int, int]] = []
     for number, (delay, cancelled, pause) in enumerate(plan):
         at = int(clock.seconds()) + delay
-        deadline = deadlines.after(delay * SECOND, lambda at=at, number=number: got.append((at, number)))
+        deadline = timers.after(delay * SECOND, lambda at=at, number=number: got.append((at, number)))
         if cancelled:
-            deadlines.cancel(deadline)
-            deadlines.cancel(deadline)
+            timers.cancel(deadline)
+            timers.cancel(deadline)
         else:
             heappush(due, (at, number))
         clock.advance(pause)
@@ -137,25 +137,25 @@
 
 def test_a_deadline_that_fails_takes_no_other_with_it() -> None:
     clock, got = Clock(), []
-    deadlines = Deadlines(clock, lambda: round(clock.seconds() * SECOND))
-    deadlines.after(SECOND, lambda: 1 // 0)
-    deadlines.after(SECOND, got.append, "next")
+    timers = Timers(clock, lambda: round(clock.seconds() * SECOND))
+    timers.after(SECOND, lambda: 1 // 0)
+    timers.after(SECOND, got.append, "next")
     clock.advance(1)
     assert got == ["next"]
 
 
 def test_what_gives_up_on_a_peer_is_put_off_once_where_this_process_was_late_itself() -> None:
     clock, got = Clock(), []
-    deadlines = Deadlines(clock, lambda: round(clock.seconds() * SECOND))
-    deadlines.after_reading(SECOND, got.append, "in time")
+    timers = Timers(clock, lambda: round(clock.seconds() * SECOND))
+    timers.after_reading(SECOND, got.append, "in time")
     clock.advance(1)
     assert got == ["in time"]
-    deadlines.after_reading(SECOND, got.append, "late")
-    deadlines.after(SECOND, got.append, "plain")
-    dropped = deadlines.after_reading(SECOND, got.append, "answered meanwhile")
+    timers.after_reading(SECOND, got.append, "late")
+    timers.after(SECOND, got.append, "plain")
+    dropped = timers.after_reading(SECOND, got.append, "answered meanwhile")
     clock.advance(1.5)
     assert got == ["in time", "plain"], "what has come may be read first"
-    deadlines.cancel(dropped)
+    timers.cancel(dropped)
     clock.advance(0.5)
     assert got == ["in time", "plain", "late"], "once, however late the second look is"
 
@@ -166,13 +166,13 @@
     def now() -> int:
         return round(clock.seconds() * SECOND) + SECOND
 
-    deadlines, silent = Deadlines(clock, now), []
-    echoes = Echoes(now, deadlines, Delays(now, 0, lambda *_: None), silent.append)
+    timers, silent = Timers(clock, now), []
+    echoes = Echoes(now, timers, Delays(now, 0, lambda *_: None), silent.append)
     lines = [Echo(echoes, tun, 0) for tun in range(3000)]
     for echo in lines:
         echo.asked()
         clock.advance(0.0005)
-    assert len(deadlines) == 1
+    assert len(timers) == 1
     for echo in lines[:-2]:
         echo.answered()
     lines[-1].close()
@@ -182,7 +182,7 @@
     lines[-2].close()
     clock.advance(SILENT / SECOND)
     clock.advance(0.002)  # a leap of the clock is a pause, after which what has come is read first
-    assert not len(deadlines)
+    assert not len(timers)
     assert silent == [2998]
 
 
@@ -207,9 +207,9 @@
     def now() -> int:
         return round(reactor.seconds() * SECOND)
 
-    deadlines = Deadlines(reactor, now)
-    means = Means(
-        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    timers = Timers(reactor, now)
+    context = ConnectionContext(
+        reactor, now, timers, Pool(BUFFER_SIZE, 4), Slots(4), RateLimitedLog(timers), Invariants()
     )
     watcher = SimpleNamespace(
         may_send=lambda *_: True,
@@ -218,7 +218,7 @@
         setup_over=lambda *args: outcomes.append(args[2]),
     )
     backends = Backends(
-        means, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND, b"PING"
+        context, watcher, lambda *_: None, ReportReader({}), Paces(1), 150 * MS, SECOND, SECOND, b"PING"
     )
     backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
     return reactor, outcomes
@@ -278,12 +278,12 @@
     def now() -> int:
         return round(reactor.seconds() * SECOND)
 
-    deadlines = Deadlines(reactor, now)
-    means = Means(
-        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    timers = Timers(reactor, now)
+    context = ConnectionContext(
+        reactor, now, timers, Pool(BUFFER_SIZE, 4), Slots(4), RateLimitedLog(timers), Invariants()
     )
     backends = Backends(
-        means,
+        context,
         SimpleNamespace(),
         lambda *args: told.append(args[1]),
         ReportReader({}),
@@ -299,11 +299,11 @@
         link.makeConnection(transport)
         link.dataReceived(b"PONG\r\n")
         reactor.advance(1)  # idle for as long as it may be
-        assert transport.disconnecting and means.links.used == 1 + number
+        assert transport.disconnecting and context.links.used == 1 + number
     # The backend, at the same limit, ends both as they are ended here.
     for _, _, factory, *_ in reactor.tcpClients:
         factory.buildProtocol(None).connectionLost(Failure(ConnectionDone()))
-    assert told == [True, True] and not means.links.used
+    assert told == [True, True] and not context.links.used
 
 
 CHUNKED = (
@@ -414,7 +414,7 @@
         told.append((ep, delay))
 
     reported = Delays(now, 3 * step, tell)
-    echoes = Echoes(now, Deadlines(clock, now), Delays(now, 3 * step, tell), silent.append)
+    echoes = Echoes(now, Timers(clock, now), Delays(now, 3 * step, tell), silent.append)
     clock.advance(10)
     echo = Echo(echoes, 5, 3)
     reported.took(3, SECOND)
@@ -439,12 +439,12 @@
 
 def test_complaints_are_a_few_lines_and_a_count() -> None:
     clock, said = Clock(), []
-    complaints = Complaints(Deadlines(clock, lambda: round(clock.seconds() * SECOND)))
+    rate_limited_log = RateLimitedLog(Timers(clock, lambda: round(clock.seconds() * SECOND)))
     sink = logger.add(said.append, format="{message}")
     for _ in range(2):
         for number in range(500):
-            complaints.about("client", f"bad line {number}")
-        complaints.about("backend", "another kind has lines of its own")
+            rate_limited_log.about("client", f"bad line {number}")
+        rate_limited_log.about("backend", "another kind has lines of its own")
         clock.advance(20)
     logger.remove(sink)
     assert len(said) == 2 * (MOST + 2) and said[MOST + 1] == f"client: {500 - MOST} more such lines in 10 s\n"
--- a/tests/test_seams.py
+++ b/tests/test_seams.py
@@ -14,10 +14,10 @@
 from pytest import fixture, mark, raises
 from twisted.internet.task import Clock
 
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.hearers import MOST_FAULTS, Hearers
 from cedarledge.net.logs import NeverWaiting, as_json
 from cedarledge.net.seams import Hearer
+from cedarledge.net.timers import Timers
 from cedarledge.operator.file import OperatorFile, read_operator_file
 from cedarledge.operator.tables import BadFileError, read_tables
 from cedarledge.rig.scenario import Scenario, load_scenario, shipped
@@ -46,7 +46,7 @@
     def now() -> int:
         return round(clock.seconds() * SECOND)
 
-    hearers = Hearers(now, Deadlines(clock, now), 0.05, 30 * SECOND, stopwatch=lambda: Ear.watch)
+    hearers = Hearers(now, Timers(clock, now), 0.05, 30 * SECOND, stopwatch=lambda: Ear.watch)
     for ear in ears:
         hearers.add(ear)
     return hearers, clock
--- a/tests/test_terms_limits.py
+++ b/tests/test_terms_limits.py
@@ -28,12 +28,12 @@
 
 from cedarledge.net.backends import Backends
 from cedarledge.net.buffers import Pool
-from cedarledge.net.complaints import Complaints
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.lines import BUFFER_SIZE
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
+from cedarledge.net.rate_limited_log import RateLimitedLog
 from cedarledge.net.slots import Slots
+from cedarledge.net.timers import Timers
 from cedarledge.settings import ReportReader
 
 SOCKETS = 160
@@ -148,9 +148,9 @@
     def now() -> int:
         return round(reactor.seconds() * SECOND)
 
-    deadlines = Deadlines(reactor, now)
-    context = Means(
-        reactor, now, deadlines, Pool(BUFFER_SIZE, 4), Slots(4), Complaints(deadlines), Invariants()
+    timers = Timers(reactor, now)
+    context = ConnectionContext(
+        reactor, now, timers, Pool(BUFFER_SIZE, 4), Slots(4), RateLimitedLog(timers), Invariants()
     )
     slow = SimpleNamespace(slower=lambda *_: 2.0)
     backends = Backends(
--- a/tests/test_terms_start.py
+++ b/tests/test_terms_start.py
@@ -19,8 +19,8 @@
 from pytest import mark
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.discovery import DiscoveryLink, Watch
+from cedarledge.net.timers import Timers
 from cedarledge.policy.balancer import LIST_TOKEN, Balancer
 from cedarledge.terms import ListForm
 
@@ -48,12 +48,12 @@
 
     def __init__(self, reactor: MemoryReactorClock, number: int) -> None:
         self.reactor = reactor
-        self.deadlines = Deadlines(reactor, self.now)
+        self.timers = Timers(reactor, self.now)
         site = facts(now=self.now(), seed=number, me=number, relays=RELAYS, ask_every=10 * SECOND)
         # Made before the policy, which may ask for the list in its first step.
         self.watch_loop = Watch(
             reactor,
-            self.deadlines,
+            self.timers,
             ("127.0.0.1", 1 + number),
             7,
             site.ask_every,
@@ -70,7 +70,7 @@
 
     def wake(self, delay: int, token: int) -> None:
         if token == LIST_TOKEN:
-            self.deadlines.after(delay, self.woke)
+            self.timers.after(delay, self.woke)
 
     def woke(self) -> None:
         self.balancer.woke(self.now(), LIST_TOKEN)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -12,15 +12,15 @@
 from cedarledge.net.boxlist import BoxList
 from cedarledge.net.buffers import Pool
 from cedarledge.net.clients import read_opening
-from cedarledge.net.complaints import Complaints
-from cedarledge.net.deadlines import Deadlines
 from cedarledge.net.echoes import Delays, Echoes
 from cedarledge.net.hearers import Hearers
 from cedarledge.net.invariants import Invariants
-from cedarledge.net.links import Means
+from cedarledge.net.links import ConnectionContext
 from cedarledge.net.module import Module
+from cedarledge.net.rate_limited_log import RateLimitedLog
 from cedarledge.net.seams import Hearer
 from cedarledge.net.slots import FullError, Slots
+from cedarledge.net.timers import Timers
 from cedarledge.net.tunnels import Tunnels
 from cedarledge.policy import Balancer
 from cedarledge.terms import BackendState, ListForm, LoadReport, Outcome
@@ -104,18 +104,18 @@
 
     def __init__(self, broken: bool = False) -> None:
         self.reactor = Clock()
-        deadlines = Deadlines(self.reactor, self.now)
-        means = Means(
-            self.reactor, self.now, deadlines, Pool(4097, 50), Slots(50), Complaints(deadlines), Invariants()
+        timers = Timers(self.reactor, self.now)
+        context = ConnectionContext(
+            self.reactor, self.now, timers, Pool(4097, 50), Slots(50), RateLimitedLog(timers), Invariants()
         )
-        self.invariants = means.invariants
-        hearers = Hearers(self.now, deadlines)
+        self.invariants = context.invariants
+        hearers = Hearers(self.now, timers)
         hearers.add(Ear())
-        self.module = Module(self.now, deadlines)
+        self.module = Module(self.now, timers)
         self.boxes = BoxList(self.module, hearers, {})
         profiles = {"a": 0, "b": 1, "c": 2}
         self.tunnels = Tunnels(
-            means,
+            context,
             self.module,
             self.boxes,
             hearers,
@@ -127,10 +127,10 @@
             facts().profiles,
         )
         self.tunnels.join(
-            self, Echoes(self.now, deadlines, Delays(self.now, 0, lambda *_: None), self.tunnels.silent)
+            self, Echoes(self.now, timers, Delays(self.now, 0, lambda *_: None), self.tunnels.silent)
         )
         self.module.join(self.tunnels, self, self.boxes, self)
-        self.deadlines = deadlines
+        self.timers = timers
         self.out: dict[int, SetupStub] = {}
         self.clients: list[Client] = []
         self.full = False
@@ -151,7 +151,7 @@
         if self.full:
             raise FullError
         self.out[tun] = SetupStub(ep, self.now())
-        self.deadlines.after(timeout, self._too_late, tun, self.out[tun])
+        self.timers.after(timeout, self._too_late, tun, self.out[tun])
         return self.out[tun]
 
     def probe(self, ep: int, address: Any) -> None:
--- a/tests/test_ways.py
+++ b/tests/test_ways.py
@@ -15,7 +15,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-from cedarledge.net.deadlines import Deadlines
+from cedarledge.net.timers import Timers
 from cedarledge.operator.tables import BadFileError, read_tables
 from cedarledge.peers.shell import MOST_LINES, Shell
 from cedarledge.rig.scenario import Scenario, Zones, load_scenario, without_operator
@@ -27,19 +27,17 @@
 from cedarledge.terms import MS, SECOND
 
 
-def timers() -> tuple[Clock, Deadlines]:
+def virtual_timers() -> tuple[Clock, Timers]:
     clock = Clock()
-    return clock, Deadlines(clock, lambda: round(clock.seconds() * SECOND))
+    return clock, Timers(clock, lambda: round(clock.seconds() * SECOND))
 
 
 class Pipe:
     """One direction of a connection, with its ends in hand."""
 
     def __init__(self, **way: object) -> None:
-        self.clock, deadlines = timers()
-        ways = SimpleNamespace(
-            now=deadlines.now, deadlines=deadlines, ended=lambda _end: None, chance=Random(1)
-        )
+        self.clock, timers = virtual_timers()
+        ways = SimpleNamespace(now=timers.now, timers=timers, ended=lambda _end: None, chance=Random(1))
         self.way = Way(**way)
         self.source, self.sink = End(), End()
         self.source.transport, self.sink.transport = StringTransport(), StringTransport()
@@ -103,8 +101,8 @@
 
     def __init__(self, **zones: object) -> None:
         scenario = Scenario("Test", relays=3, zones=Zones(**zones))
-        self.clock, deadlines = timers()
-        self.lanes = Lanes(Stage(None, deadlines, deadlines.now, plan_of(scenario, 1), 7, None), 0, 1)
+        self.clock, timers = virtual_timers()
+        self.lanes = Lanes(Stage(None, timers, timers.now, plan_of(scenario, 1), 7, None), 0, 1)
         self.came: list[tuple[int, bytes]] = []
         for door in self.lanes.doors:
             door.transport = SimpleNamespace(
@@ -182,10 +180,10 @@
 
 
 def test_log_lines_about_the_view_are_bounded_and_the_rest_counted() -> None:
-    clock, deadlines = timers()
+    clock, timers = virtual_timers()
     lines: list[str] = []
     number = logger.add(lines.append, format="{message}")
-    shell = Shell(None, deadlines, "127.0.0.1:7", dict)
+    shell = Shell(None, timers, "127.0.0.1:7", dict)
     for name in range(MOST_LINES + 60):
         shell.changed(f"n{name}", None, None, "x")
     clock.advance(11)
