--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -228,6 +228,13 @@
     read_late = [call(), setup(), given_up]
     assert broken(*read_late) == {"overlapping_setups"}
     assert broken(*read_late, acts=way(1)) == set()
+    # One that a partition held back with its end, and one that was still out as the partition was over.
+    partition = (Act(SECOND // 2, "box", "cut", 1, 1.0, 0), Act(6 * SECOND, "box", "cut", 1, 0.0, 0))
+    held_back = setup(1, word="", answered=-1, whole=6 * SECOND + MS, ended=6 * SECOND + 2 * MS)
+    assert broken(call(), setup(), held_back) == {"overlapping_setups"}
+    assert broken(call(), setup(), held_back, acts=partition) == set()
+    still_out = setup(1, word="", answered=-1, whole=6 * SECOND + MS, ended=6 * SECOND + 200 * MS)
+    assert broken(call(), setup(), still_out, acts=partition) == {"overlapping_setups"}
     assert broken(call(held=1), setup(), acts=way(0)) == set()
     assert broken(call(held=1), setup(), acts=way(1)) == {"lines_lost"}
     assert broken(call(), setup(gaps=1), acts=way(0)) == {"lines_lost"}
