A connect that was not tried is told from one under way; poller and exit bear what is left

EAGAIN of connect (no local port) is the number of EWOULDBLOCK: Twisted waited for a connection that nobody made, and its end ejected the backend. Change: ConnectingSocket; a registration that can never be made is given up with a line; end_process bears a broken stream; docs of what is done.

--- a/cedarledge/__main__.py
+++ b/cedarledge/__main__.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+from contextlib import suppress
 from typing import TYPE_CHECKING
 
 from cedarledge.net import signals
@@ -64,8 +65,9 @@
 def end_process(code: int) -> None:
     """Ends this process at once. Taking the interpreter apart takes longer than a relay may have left, which
     is killed a little after its end is due."""
-    sys.stdout.flush()
-    sys.stderr.flush()
+    for stream in (sys.stdout, sys.stderr):
+        with suppress(OSError):
+            stream.flush()
     os._exit(code)
 
 
--- a/cedarledge/faults/system_calls.c
+++ b/cedarledge/faults/system_calls.c
@@ -22,7 +22,8 @@
 
 static const int accept_errors[] = {ECONNABORTED, EINTR, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO};
 static const int socket_errors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
-static const int connect_errors[] = {EADDRNOTAVAIL, EAGAIN, ENETUNREACH, ETIMEDOUT, EINTR};
+/* ETIMEDOUT and ECONNREFUSED say something of the peer: it is the peer that has to be at fault then. */
+static const int connect_errors[] = {EADDRNOTAVAIL, EAGAIN, ENETUNREACH, EINTR};
 static const int send_errors[] = {EAGAIN, EINTR, ENOBUFS, ENOMEM};
 static const int recv_errors[] = {EAGAIN, EINTR, ENOMEM};
 static const int epoll_wait_errors[] = {EINTR};
--- a/cedarledge/net/poller.py
+++ b/cedarledge/net/poller.py
@@ -4,6 +4,8 @@
 
 import select
 
+from loguru import logger
+
 from cedarledge.net.shortages import SHORTAGES
 
 # How long what could not be registered waits at most, in seconds.
@@ -35,7 +37,7 @@
         """Waits for events; `timeout` is in seconds, below 0: for as long as it takes."""
         if self._waiting:
             for descriptor, flags in list(self._waiting.items()):
-                self._set(descriptor, flags)
+                self._set_again(descriptor, flags)
             if self._waiting:
                 timeout = RETRY_WITHIN if timeout < 0 else min(timeout, RETRY_WITHIN)
         return self._poller.poll(timeout, most)
@@ -46,6 +48,14 @@
     def close(self) -> None:
         self._poller.close()
 
+    def _set_again(self, descriptor: int, flags: int) -> None:
+        try:
+            self._set(descriptor, flags)
+        except OSError as why:
+            # It can't be watched at all, and trying it for ever would keep the reactor from its work.
+            del self._waiting[descriptor]
+            logger.error("descriptor {} can't be watched: {}", descriptor, why)
+
     def _set(self, descriptor: int, flags: int) -> None:
         try:
             if descriptor in self._registered:
--- a/cedarledge/net/rate_limited_log.py
+++ b/cedarledge/net/rate_limited_log.py
@@ -1,4 +1,4 @@
-"""Log lines about what peers do wrong: a few, and how many more there were."""
+"""Log lines of which many may come: a few, and how many more there were."""
 
 from __future__ import annotations
 
@@ -15,6 +15,8 @@
 
 
 class RateLimitedLog:
+    """Writes the first lines of each sort in a span, and then how many more there were."""
+
     def __init__(self, timers: Timers) -> None:
         self._timers = timers
         self._counts: dict[str, int] = {}
--- a/cedarledge/net/timers.py
+++ b/cedarledge/net/timers.py
@@ -44,6 +44,8 @@
 
 
 class Timers:
+    """All timers of a process. The reactor is asked for one call, for the first of them."""
+
     def __init__(self, reactor: IReactorTime, clock: Callable[[], int]) -> None:
         self._reactor = reactor
         self._clock = clock
--- a/cedarledge/net/transports.py
+++ b/cedarledge/net/transports.py
@@ -37,9 +37,23 @@
     """A connection that was accepted."""
 
 
+class ConnectingSocket(socket.socket):
+    """A socket that tells a connect that was not tried from one that is under way: EAGAIN is no other number
+    than EWOULDBLOCK, and Twisted would wait for the first as for the second."""
+
+    def connect_ex(self, address: Any) -> int:
+        number = super().connect_ex(address)
+        return errno.EADDRNOTAVAIL if number == errno.EAGAIN else number
+
+
 class Client(_PatientConnection, tcp.Client):
     """A connection that this process opens."""
 
+    def createInternetSocket(self) -> ConnectingSocket:  # noqa: N802
+        connecting = ConnectingSocket(self.addressFamily, self.socketType)
+        connecting.setblocking(False)
+        return connecting
+
 
 class AcceptingSocket:
     """A listening socket whose `accept` has nobody to give where it fails for a moment. Twisted would end
