The rig compiles its preload libraries once, before the run's beginning is set

Run.__init__ set the beginning and then compiled a library for each relay with failing calls or a clock of its own, 0.1 s each and more on a busy machine, out of the 2.5 s that processes have to start. Change: one compilation a library, before. No network code.

--- a/cedarledge/faults/system_calls.py
+++ b/cedarledge/faults/system_calls.py
@@ -16,10 +16,17 @@
 class SystemCallFaults:
     """Failures by seed, at one rate for all calls, in the processes that are started with its environment."""
 
-    def __init__(self, folder: Path, seed: int, rate: float, kinds: Collection[str] = KINDS) -> None:
-        """`rate` is the share of calls of these kinds that fail, 0 to 1. The folder has to outlive those
-        processes."""
-        self._library = build("system_calls", folder)
+    def __init__(
+        self,
+        folder: Path,
+        seed: int,
+        rate: float,
+        kinds: Collection[str] = KINDS,
+        library: Path | None = None,
+    ) -> None:
+        """`rate` is the share of calls of these kinds that fail, 0 to 1. The folder, which gets the library
+        if none is given, has to outlive those processes."""
+        self._library = library or build("system_calls", folder)
         self._counts = folder / "system_calls.counts"
         self._counts.write_bytes(bytes(COUNTS.size))
         self._settings = f"{seed}:{round(rate * MILLION)}:{sum(1 << KINDS.index(kind) for kind in kinds)}"
--- a/cedarledge/faults/wall_clock.py
+++ b/cedarledge/faults/wall_clock.py
@@ -14,9 +14,10 @@
 class WallClock:
     """The wall clock of all processes that are started with its environment."""
 
-    def __init__(self, folder: Path) -> None:
-        """Keeps its library and its offset in the folder, which has to outlive those processes."""
-        self._library = build("wall_clock", folder)
+    def __init__(self, folder: Path, library: Path | None = None) -> None:
+        """Keeps its offset in the folder, and its library if none is given, which has to outlive those
+        processes."""
+        self._library = library or build("wall_clock", folder)
         self._path = folder / "wall_clock.offset"
         self._path.write_bytes(OFFSET.pack(0))
         self._file = os.open(self._path, os.O_RDWR | os.O_CLOEXEC)
--- a/cedarledge/rig/run.py
+++ b/cedarledge/rig/run.py
@@ -19,7 +19,7 @@
 import msgspec
 from twisted.internet.protocol import ProcessProtocol
 
-from cedarledge.faults.preload import joined
+from cedarledge.faults.preload import build, joined
 from cedarledge.faults.system_calls import SystemCallFaults
 from cedarledge.faults.wall_clock import WallClock
 from cedarledge.net.reactor import install_reactor
@@ -223,6 +223,7 @@
             "boxes": 1 + max(len(plan.boxes) // 80, plan.client_terms.standing // 2500),
             "clients": 1 + plan.client_terms.standing // 1200,
         } | ({"lanes": 1} if plan.peers or plan.on_ways else {})
+        self._prepare_faults()
         lead = START_WITHIN + START_A_PORT * ports // parts["boxes"] + 200 * MS * sum(parts.values())
         lead += START_A_RELAY * plan.relays
         self.begin = time.monotonic_ns() + lead
@@ -236,14 +237,6 @@
         self.workers: list[WorkerProcess] = []
         self.relays: dict[int, RelayProcess] = {}
         self.failure: RunError | None = None
-        # Relays whose wall clocks are stepped have one of their own, which outlives their processes.
-        stepped = {act.which for act in plan.acts if act.who == "relay" and act.what == "step"}
-        self.clocks = {relay: WallClock(self._fault_folder(relay)) for relay in sorted(stepped)}
-        self.system_calls = {
-            act.which: SystemCallFaults(self._fault_folder(act.which), plan.seed, act.size)
-            for act in plan.acts
-            if act.who == "relay" and act.what == "system_calls"
-        }
         for role, count in parts.items():
             for part in range(count):
                 book = folder / f"{role}-{part}.book"
@@ -255,6 +248,23 @@
                     )
                 )
 
+    def _prepare_faults(self) -> None:
+        """Wall clocks and system calls of relays, which outlive their processes. Libraries are compiled once
+        and before the run's beginning is set: each takes a tenth of a second."""
+        stepped = {act.which for act in self.plan.acts if act.who == "relay" and act.what == "step"}
+        failing = {
+            act.which: act.size for act in self.plan.acts if act.who == "relay" and act.what == "system_calls"
+        }
+        clock_library = build("wall_clock", self.folder) if stepped else None
+        calls_library = build("system_calls", self.folder) if failing else None
+        self.clocks = {
+            relay: WallClock(self._fault_folder(relay), clock_library) for relay in sorted(stepped)
+        }
+        self.system_calls = {
+            relay: SystemCallFaults(self._fault_folder(relay), self.plan.seed, rate, library=calls_library)
+            for relay, rate in failing.items()
+        }
+
     def _fault_folder(self, relay: int) -> Path:
         folder = self.folder / f"faults-{relay}"
         folder.mkdir(exist_ok=True)
