The fleet's mean weighs backends by their kind, not by where a relay's own clients are

Cause: each backend counted by its capacity as guessed from this relay's own connections there times the relays. Where the connections are the guess is high, elsewhere near nothing, so the mean was that of the own backends; and each report of the same one or two connections counted as evidence anew. Change: a backend counts as its kind does, unless it shows less than half of that (a slow one); evidence of one backend's capacity is the connections here, against four that its kind is worth, however often it reports. Tests: one in test_policy_overload.py, seen to fail before (0.65 in place of 0.46).

--- a/cedarledge/policy/state.py
+++ b/cedarledge/policy/state.py
@@ -29,7 +29,8 @@
     def reset(self) -> None:
         """Forgets what a fresh start of the backend makes untrue."""
         self.reported, self.load_at_report = -1.0, 0.0  # load asked over capacity; below 0: unknown
-        self.capacity, self.tokens, self.tokens_at = DecayingRatio(15 * SECOND), 0.0, -1
+        self.capacity, self.reports = DecayingRatio(15 * SECOND), DecayingSum(15 * SECOND)
+        self.tokens, self.tokens_at = 0.0, -1
         self.reported_at = self.rebalanced_at = self.busy_until = self.delay = self.delay_at = 0
         self.ejections = self.ejected_until = 0
 
--- a/cedarledge/policy/utilization.py
+++ b/cedarledge/policy/utilization.py
@@ -10,6 +10,8 @@
 FULL = 0.85  # above this mean load a fleet has no room for its own swings
 FULL_WITH_GROUPS = 0.7  # nor, above this, for a group to lie on more backends: each pays for what it shares
 KIND_WEIGHT = 0.5  # of a backend's kind against its own reports, in reports at full load
+KIND_CONNECTIONS = 4.0  # the connections here that say as much of a backend's capacity as its kind does
+SLOW = 0.5  # of its kind's capacity: a backend that shows less than this counts as what it shows
 ECHO_HALF = 0.1  # own connections in a backend's share at which an own change counts half for other relays
 GUESS_CAP = 0.35  # how far a settling relay's guess may go past a report: it guesses capacities far too low
 REPORT_LIFETIME = 4 * SECOND  # how fast a report loses its say in the fleet's mean
@@ -23,8 +25,12 @@
     if kind.weight.read(now) < 0.5:
         return 0.0
     usual = kind.amount.read(now) / kind.weight.read(now)
+    # The evidence is the connections here, however often a report is made of the same few: of one or two,
+    # as one relay among hundreds has, the guess says more of where they are than of what the backend can do.
+    held_by_full_one = usual / state.settings.relays / (estimators.mean(state.loads, now) or usual)
+    kind_weight = max(KIND_WEIGHT, KIND_CONNECTIONS * backend.reports.read(now) / max(held_by_full_one, 0.01))
     # What it showed lately outweighs its kind: one that turns slow is idle once its clients are moved away.
-    return (own.amount.read(now) + KIND_WEIGHT * usual) / (own.weight.read(now) + KIND_WEIGHT)
+    return (own.amount.read(now) + kind_weight * usual) / (own.weight.read(now) + kind_weight)
 
 
 def current(state: State, now: int, backend: Backend) -> float:
@@ -58,17 +64,29 @@
     kind, relays = state.capacity[backend.kind], state.settings.relays
     if now < state.unrepresentative_until and kind.weight.read(now) >= 0.5:
         return  # it holds little of what the report tells of, and would take that for weakness
+    backend.reports.add(now, 1)
     backend.capacity.add(now, backend.load_at_report * relays, load)
     if backend.load > 0 and not backend.is_cold(now) and 0.05 < load < slow_start.CREDIBLE_LOAD:
         kind.add(now, backend.load * relays, load)
 
 
+def _weight(state: State, now: int, backend: Backend) -> float:
+    """What a backend counts for in the fleet's mean: its kind's capacity, unless it shows to be a slow one.
+
+    Its own guess would give most say to the backends where this relay's connections are, so that each relay
+    goes by a mean of its own.
+    """
+    known = estimators.mean([state.capacity[backend.kind]], now)
+    known = known or estimators.mean(list(state.capacity.values()), now) or 1.0
+    shown = capacity(state, now, backend)
+    return shown if 0 < shown < SLOW * known else known
+
+
 def fleet(state: State, now: int) -> float:
     """The mean load of the backends in the cells, gone by for a while; below 0: unknown."""
     if now < state.fleet_load_until:
         return state.fleet_load
     state.fleet_load_until = now + max(TICK, state.ready * MEAN_AGE)
-    usual = estimators.mean(list(state.capacity.values()), now) or 1.0
     load, size = [0.0, 0.0], [0.0, 0.0]  # elsewhere, and in this relay's zone
     warm, seen = 0, 0.0
     for backend in (backend for cell in state.cells.values() for backend in cell):
@@ -80,7 +98,7 @@
         # By age: a relay that probes seldom would shed for half a minute by what a storm left in reports.
         recency = math.exp((backend.reported_at - now) / REPORT_LIFETIME)
         seen += recency
-        share = recency * (capacity(state, now, backend) or usual)  # all in one unit
+        share = recency * _weight(state, now, backend)
         is_local = backend.zone == state.settings.zone
         load[is_local] += min(cautious(state, now, backend), 3.0) * share
         size[is_local] += share
--- a/tests/test_policy_overload.py
+++ b/tests/test_policy_overload.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from helpers import Ledger, facts, listed
+from helpers import SECOND, Ledger, facts, listed
 from pytest import approx
 
 from cedarledge.policy import utilization
@@ -46,3 +46,17 @@
     for connection_id in connections[36:]:
         ledger.balancer.load_told(ledger.now, connection_id, 100.0)
     assert fleet_load(ledger.balancer.state, ledger.now) == approx(0.5, abs=0.01)
+
+
+def test_the_fleets_mean_does_not_hang_on_where_a_relays_own_connections_are() -> None:
+    """What a backend seems to bear is guessed from the connections here: many here look like much room."""
+    ledger = Ledger(facts(relays=40))
+    ledger.tell(ListForm.RESTORED, *(listed(number) for number in range(8)))
+    for number in range(9):
+        ledger.adopt(0 if number < 8 else 1, hint=1.0)
+    ledger.run(SECOND)
+    for _ in range(8):
+        for backend_id in range(8):
+            asked = 0.9 if backend_id == 0 else 0.4
+            ledger.balancer.probed(ledger.now, backend_id, True, LoadReport(asked=asked))
+    assert fleet_load(ledger.balancer.state, ledger.now) == approx((0.9 + 7 * 0.4) / 8, abs=0.02)
