Backends that were never met count as idle where nothing is probed

Change: where nothing is probed a backend with neither report nor connection here counts as idle by o / (1 + o), o being the connections that this relay has at the mean backend: with many at each, none is a sign of idleness; with hardly any it says nothing. Three tests in test_policy_overload.py, one seen to fail before (1.2 in place of 0.4), two hold the limits of the change.

--- a/cedarledge/policy/utilization.py
+++ b/cedarledge/policy/utilization.py
@@ -1,6 +1,7 @@
 """How loaded each backend and the whole fleet are, as far as this relay can tell."""
 
 import math
+from dataclasses import dataclass, field
 
 from cedarledge.policy import estimators, slow_start
 from cedarledge.policy.state import TICK, Backend, State
@@ -15,6 +16,7 @@
 ECHO_HALF = 0.1  # own connections in a backend's share at which an own change counts half for other relays
 GUESS_CAP = 0.35  # how far a settling relay's guess may go past a report: it guesses capacities far too low
 REPORT_LIFETIME = 4 * SECOND  # how fast a report loses its say in the fleet's mean
+MOST_LOAD = 3.0  # that one report brings into the fleet's mean
 SAMPLE = 4  # so many fresh reports are a sample of the fleet
 MEAN_AGE = 4 * MS  # how long a mean is gone by, for each backend that it is made of
 
@@ -82,28 +84,73 @@
     return shown if 0 < shown < SLOW * known else known
 
 
+@dataclass
+class FleetSample:
+    """What the reports of some warm backends tell of all of them; loads are weighed by capacity."""
+
+    load: list[float] = field(default_factory=lambda: [0.0, 0.0])  # elsewhere, and in this relay's zone
+    size: list[float] = field(default_factory=lambda: [0.0, 0.0])
+    unmet: list[float] = field(default_factory=lambda: [0.0, 0.0])  # size of backends without a report
+    warm: int = 0  # backends
+    reported: int = 0  # of these, so many have ever sent a report
+    fresh: float = 0.0  # the same, each by the age of its report
+
+    def mean(self) -> float:
+        """The mean load of the warm backends; below 0: unknown."""
+        return sum(self.load) / sum(self.size) if sum(self.size) else -1.0
+
+    def local_mean(self) -> float:
+        """The mean load of the warm backends in this relay's zone; below 0: unknown."""
+        return self.load[1] / self.size[1] if self.size[1] else -1.0
+
+    def evidence(self) -> float:
+        """How far the reports are a sample of the fleet, up to 1."""
+        return min(max(2 * self.fresh / min(self.warm, SAMPLE) - 1, 0.0), 1.0) if self.warm else 0.0
+
+
 def fleet(state: State, now: int) -> float:
     """The mean load of the backends in the cells, gone by for a while; below 0: unknown."""
     if now < state.fleet_load_until:
         return state.fleet_load
     state.fleet_load_until = now + max(TICK, state.ready * MEAN_AGE)
-    load, size = [0.0, 0.0], [0.0, 0.0]  # elsewhere, and in this relay's zone
-    warm, seen = 0, 0.0
+    sample = _sample(state, now)
+    if not state.settings.probes:
+        _count_unmet(state, sample)
+    state.fleet_load, state.local_load = sample.mean(), sample.local_mean()
+    state.evidence = sample.evidence()
+    slow_start.learn_rate(state, now)
+    return state.fleet_load
+
+
+def _sample(state: State, now: int) -> FleetSample:
+    sample = FleetSample()
     for backend in (backend for cell in state.cells.values() for backend in cell):
         if backend.is_ejected(now) or backend.is_cold(now):
             continue  # a cold one's idle cores can't be had at will: no reason to call others busy
-        warm += 1
+        sample.warm += 1
+        is_local = backend.zone == state.settings.zone
         if backend.reported < 0:
+            sample.unmet[is_local] += 0.0 if backend.open else _weight(state, now, backend)
             continue
         # By age: a relay that probes seldom would shed for half a minute by what a storm left in reports.
         recency = math.exp((backend.reported_at - now) / REPORT_LIFETIME)
-        seen += recency
+        sample.reported += 1
+        sample.fresh += recency
         share = recency * _weight(state, now, backend)
-        is_local = backend.zone == state.settings.zone
-        load[is_local] += min(cautious(state, now, backend), 3.0) * share
-        size[is_local] += share
-    state.fleet_load = (load[1] + load[0]) / (size[1] + size[0]) if size[1] + size[0] else -1.0
-    state.local_load = load[1] / size[1] if size[1] else -1.0
-    state.evidence = min(max(2 * seen / min(warm, SAMPLE) - 1, 0.0), 1.0) if warm else 0.0
-    slow_start.learn_rate(state, now)
-    return state.fleet_load
+        sample.load[is_local] += min(cautious(state, now, backend), MOST_LOAD) * share
+        sample.size[is_local] += share
+    return sample
+
+
+def _count_unmet(state: State, sample: FleetSample) -> None:
+    """Counts backends that have neither a report nor a connection here as idle, as far as that shows.
+
+    Without probes reports come with what ends at a backend, so only from where this relay's clients are. The
+    more connections it has at the mean backend, the likelier one without any is idle.
+    """
+    if not sample.reported:
+        return
+    held = sum(backend.open for backend in state.holding.values()) / sample.warm
+    recency = sample.fresh / sample.reported  # as the others' reports count
+    for place, unmet in enumerate(sample.unmet):
+        sample.size[place] += recency * unmet * held / (1 + held)
--- a/tests/test_policy_laws.py
+++ b/tests/test_policy_laws.py
@@ -170,6 +170,50 @@
         LEAST, relays=4, backends=120, load=0.46, probes=False, group_size=30, attempts=1, retries=3
     )
 )
+# A relay of four that fills up with groups: what it guesses beyond the reports stands 0.15 over the fleet.
+@example(
+    deployment=replace(
+        LEAST,
+        seed=14,
+        relays=4,
+        backends=14,
+        classes=(RequestClass(4, 2500 * MS, 0.3), RequestClass(3, 2500 * MS, 1.0)),
+        load=0.55,
+        lifetime=60 * SECOND,
+        warmup_duration=12 * SECOND,
+        cold_from=0.41,
+        fall_multiple=3.76,
+        fall_span=1285 * MS,
+        pushed=True,
+        group_size=30,
+        tenants=4,
+        crossing=0.04,
+        retries=2,
+        report_period=112 * MS,
+        report_delay=230 * MS,
+    )
+)
+# Reports that are 1.5 s apart and 9 backends of 14 known: they are loaded before the others are met.
+@example(
+    deployment=replace(
+        LEAST,
+        seed=31,
+        backends=14,
+        classes=(RequestClass(8, 400 * MS, 3.0),),
+        load=0.55,
+        connections_per_backend=48,
+        warmup_duration=18 * SECOND,
+        cold_from=0.42,
+        fall_multiple=2.83,
+        fall_span=1222 * MS,
+        probes=False,
+        group_size=30,
+        crossing=0.04,
+        retries=3,
+        report_period=1500 * MS,
+        report_delay=342 * MS,
+    )
+)
 @given(deployment=deployments((1, 4, 30, 230), loads=(30, 65), group_cost=0.0))
 def test_a_fresh_relay_serves_its_share_within_seconds_where_the_fleet_has_room(
     deployment: Deployment,
--- a/tests/test_policy_overload.py
+++ b/tests/test_policy_overload.py
@@ -60,3 +60,38 @@
             asked = 0.9 if backend_id == 0 else 0.4
             ledger.balancer.probed(ledger.now, backend_id, True, LoadReport(asked=asked))
     assert fleet_load(ledger.balancer.state, ledger.now) == approx((0.9 + 7 * 0.4) / 8, abs=0.02)
+
+
+def test_without_probes_backends_that_were_never_met_are_no_reason_to_reject() -> None:
+    """Reports come with what ends at a backend, so from the few where this relay's own clients are.
+
+    Found by the law of fresh relays: one relay of one, 120 backends, 39 with a report. They stood at 1.58,
+    the fleet at 0.57 as the others were idle, and it rejected 1,023 of 1,176 requests.
+    """
+    ledger = Ledger(facts(relays=1, probes=False))
+    ledger.tell(ListForm.RESTORED, *(listed(number) for number in range(12)))
+    for number in range(120):
+        ledger.adopt(number % 4, hint=1.0)
+    for backend_id in range(4):
+        ledger.report(backend_id, 1.2)
+    assert fleet_load(ledger.balancer.state, ledger.now) == approx(1.2 * 4 / 12, abs=0.05)
+
+
+def test_where_this_relay_has_next_to_no_clients_backends_without_any_may_be_loaded_like_others() -> None:
+    ledger = Ledger(facts(relays=230, probes=False))
+    ledger.tell(ListForm.RESTORED, *(listed(number) for number in range(54)))
+    for backend_id in range(5):
+        ledger.adopt(backend_id, hint=1.0)
+        ledger.report(backend_id, 0.9)
+    assert fleet_load(ledger.balancer.state, ledger.now) > 0.45
+
+
+def test_where_backends_are_probed_only_reports_count() -> None:
+    """Probes go round all backends: the ones that they have not come to yet are like the ones they have."""
+    ledger = Ledger(facts(relays=1, probes=True))
+    ledger.tell(ListForm.RESTORED, *(listed(number) for number in range(12)))
+    for number in range(120):
+        ledger.adopt(number % 4, hint=1.0)
+    for backend_id in range(4):
+        ledger.report(backend_id, 0.9)
+    assert fleet_load(ledger.balancer.state, ledger.now) == approx(0.9, abs=0.01)
