--- a/tests/test_policy_overload.py
+++ b/tests/test_policy_overload.py
@@ -6,16 +6,19 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import replace
 from itertools import pairwise
 
 from helpers import SECOND, Ledger, facts, listed
+from policy_models import RequestClass
 from pytest import approx
+from test_policy_laws import LEAST, sent_too_many
 
 from cedarledge.policy import utilization
 from cedarledge.policy.cells import digest_of, draw_of
 from cedarledge.policy.shedding import ORDER_SALT
 from cedarledge.policy.state import MOST_UNATTEMPTED, State
-from cedarledge.terms import ExternalView, ListForm, LoadReport, Outcome
+from cedarledge.terms import MS, ExternalView, ListForm, LoadReport, Outcome
 
 
 def fleet_load(state: State, now: int) -> float:
@@ -237,3 +240,35 @@
     ledger.balancer.knows(ledger.now, ExternalView(aside=frozenset({0})))
     attempted = arrive_in_turn(ledger, 30, SECOND // 4, ["group"])
     assert attempted and 0 not in backends_of(ledger, attempted)
+
+
+def test_two_hundred_relays_stay_within_the_allowance_of_a_backend_that_is_warm_within_seconds() -> None:
+    """Not mended yet: cells of two backends, a start at 0.47, warm after 6 s, 2.35 times the usual arrivals.
+
+    All relays together send it 9.4 requests more than the rule allows, in 1.3 s. The cause is not traced.
+    """
+    deployment = replace(
+        LEAST,
+        seed=25,
+        relays=200,
+        backends=30,
+        cell_size=2,
+        classes=(RequestClass(14, 2500 * MS, 0.3),),
+        load=0.56,
+        connections_per_backend=20,
+        lifetime=10 * SECOND,
+        warmup_duration=6 * SECOND,
+        cold_from=0.47,
+        fall_multiple=2.89,
+        fall_span=1282 * MS,
+        pushed=True,
+        group_size=30,
+        group_cost=1.0,
+        tenants=4,
+        crossing=0.3,
+        attempts=1,
+        retries=2,
+        report_period=532 * MS,
+        report_delay=100 * MS,
+    )
+    assert sent_too_many(deployment, cold=2, rush=2.35) <= 0
