Review: a request is sent again after its window when a connection comes up late

A token request that may have run is attempted again within its window; the connection to the second backend comes up 1.02 s late, and the line is written 1.42 s after the first one, past a window of 1 s and 0.2 s of slack. The window is checked as an attempt begins, not as its line is written (policy/retries.py, net/request_guard.py, net/backends.py, net/tunnels.py).

--- a/review/fleet.py
+++ b/review/fleet.py
@@ -1,7 +1,7 @@
-"""Stand-ins that the cases share: backends, discovery, clients and the record; and the start of a relay.
+"""Stand-ins for one case: backends, discovery, clients, and the relay as a process of its own.
 
-All of it runs on loopback addresses and the real clock. A relay is a process of its own, started with the
-`run` command of the deploy file.
+Everything runs on loopback addresses in one event loop. Times in the record are seconds on the monotonic
+clock since the start of the case.
 """
 
 from __future__ import annotations
@@ -10,474 +10,470 @@
 import contextlib
 import json
 import os
-import shutil
 import signal
 import socket
 import struct
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
+from itertools import count
 from pathlib import Path
-from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-# A loopback address of this process's own, so that nobody else takes a port between its choice and its use.
-HOST = f"127.{os.getpid() >> 16 & 255}.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 255}"
-MEMBER = {"locality": "a", "flavor": "m", "cell": 1, "size": 1.0, "up_since_ms": 0}
+START = time.monotonic()
+IDS = count(1)
+TIME_LIMIT = 100.0  # of a case, s; its script may run for 120 s
+
+
+def now() -> float:
+    """Returns the time since the start of the case, s."""
+    return time.monotonic() - START
 
 
 class Record:
-    """The lines of record.txt: seconds since the start, and what was sent, answered or run."""
+    """The events of a case, in the order in which they were seen."""
 
     def __init__(self, path: Path) -> None:
-        """Starts an empty record."""
-        self._file = path.open("w")
-        self._began = time.monotonic()
+        """Starts an empty file."""
+        self.file = path.open("w")
 
-    def now(self) -> float:
-        """Returns the seconds since the start."""
-        return time.monotonic() - self._began
+    def __call__(self, who: str, what: str) -> None:
+        """Writes one event."""
+        self.file.write(f"{now():9.3f}  {who:12}  {what}\n")
+        self.file.flush()
 
-    def __call__(self, text: str) -> float:
-        """Writes a line and returns its time."""
-        at = self.now()
-        self._file.write(f"{at:9.3f}  {text}\n")
-        self._file.flush()
-        return at
 
+def free_port(host: str) -> int:
+    """Returns a port of a loopback address on which nothing listens."""
+    with socket.create_server((host, 0)) as probe:
+        return probe.getsockname()[1]
 
-def bound_socket(host: str) -> socket.socket:
-    """Returns a socket that is bound to a free port and does not listen yet."""
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, 0))
-    return bound
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """Closes a connection by a TCP reset."""
+    link = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        link.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
 
-def free_port(host: str) -> int:
-    """Returns a port that nobody listens on."""
-    with bound_socket(host) as bound:
-        return bound.getsockname()[1]
-
-
-def settings(profiles: list[dict[str, Any]], **changes: Any) -> dict[str, Any]:
-    """Returns the settings of a small deployment; `changes` are whole tables or single values."""
-    rows = [
-        {
-            "name": "route-watch",
-            "semantics": "pure",
-            "group": "all",
-            "window": 5_000_000,
-            "setup_goal": 300_000,
-            "client_timeout": 1_200_000,
-            "credit": 1.0,
-            "late_credit": 0.0,
-            "stream": True,
-            **row,
-        }
-        for row in profiles
-    ]
-    result: dict[str, Any] = {
-        "allowed": {
-            "cancel": True,
-            "conn_idle": 15_000_000,
-            "connect_timeout": 150_000,
-            "max_open": 1_000_000,
-            "max_retry_after": 2_000_000,
-            "most_setups": 6,
-            "probes": True,
-            "retry_after": False,
-            "second_copies": False,
-        },
-        "dcs": ["a"],
-        "domain": {
-            "groups": False,
-            "message_aim": [250_000.0] * len(rows),
-            "mode": "proxy",
-            "tells_delay": True,
-            "tells_load": True,
-            "tenant_quota_connections": [],
-        },
-        "group_size": 4,
-        "host_types": ["m"],
-        "load_report": {"columns": ["recent_ms", "utilization", "x0"], "how": "on_probe"},
-        "me": 0,
-        "membership_mode": "ask",
-        "overage_credit": 0.1,
-        "prices": {"cross_zone": 0.01, "probe": 0.0031},
-        "profiles": rows,
-        "safety": {
-            "ask_every": 10_000_000,
-            "cold_from": 0.31,
-            "drain_grace": 250_000,
-            "fall_multiple": 3.0,
-            "grace_to_answer": 8000,
-            "overload_for": 1_500_000,
-            "warm_within": 8_900_000,
-        },
-        "service_type": "conn",
-        "tenants": [],
-        "tier": 0,
-        "tiers": ["live-feed"],
-        "weight_kind": "off",
-        "zone": "a",
-    }
-    for name, value in changes.items():
-        if isinstance(value, dict):
-            result[name] = {**result[name], **value}
-        else:
-            result[name] = value
-    return result
+
+class Attempt:
+    """A request line that a backend has received."""
+
+    def __init__(self, line: str, first_byte: float, last_byte: float, backend: str) -> None:
+        """Takes the line apart."""
+        _, self.id, self.key, values = line.split(" ")
+        self.values = dict(pair.split("=", 1) for pair in values.split(","))
+        self.first_byte, self.last_byte, self.backend = first_byte, last_byte, backend
 
 
 class Backend:
-    """A backend by the protocol page: it answers PING, STATS and OPEN, and echoes the lines of a client."""
+    """A backend that follows the protocol page; `serve` decides on the answer to a request."""
 
-    def __init__(self, record: Record, name: str, host: str = HOST) -> None:
-        """Takes a free port; `start` listens."""
+    def __init__(self, record: Record, name: str, host: str, **entry: object) -> None:
+        """Listens on a free port of `host`."""
         self.record = record
         self.name = name
-        self.host = host
-        self.socket = bound_socket(host)
-        self.port = self.socket.getsockname()[1]
-        self.load = 0.2
-        self.held_open: set[asyncio.StreamWriter] = set()
-        self._writers: set[asyncio.StreamWriter] = set()
-        self.before_stats: Callable[[Backend], None] = lambda _: None  # sets `load` for the next answer
-        # Called with the OPEN line's words and the connection; returns the answer, or None for none at all.
-        self.on_open: Callable[[list[str], asyncio.StreamWriter], Awaitable[str | None]] = self.serve
-        self._accepting: asyncio.Task | None = None
-        self._tasks: set[asyncio.Task] = set()
-        self._fillers: dict[tuple[str, int], socket.socket] = {}  # connections of its own, by their address
-
-    @property
-    def address(self) -> str:
-        """Its address as discovery lists it."""
-        return f"{self.host}:{self.port}"
-
-    def member(self, phase: str = "up", **other: Any) -> dict[str, Any]:
-        """Returns its entry of the list."""
-        return {"id": self.name, "host_port": self.address, "phase": phase, **MEMBER, **other}
-
-    async def start(self) -> None:
-        """Starts to listen."""
+        self.entry_values = entry
+        self.socket = socket.socket()
+        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.socket.bind((host, 0))
+        self.socket.listen(256)
         self.socket.setblocking(False)
-        self.resume()
-
-    async def _accept(self) -> None:
-        while True:
-            link, peer = await asyncio.get_running_loop().sock_accept(self.socket)
-            if peer in self._fillers:
-                link.close()
-                continue
-            streams = await asyncio.open_connection(sock=link)
-            task = asyncio.create_task(self._connected(*streams))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    def pause(self) -> None:
-        """Fills the queue of new connections, so that the system holds up further ones until `resume`."""
-        self._accepting.cancel()
+        self.address = "{}:{}".format(*self.socket.getsockname())
+        self.held = False
+        self.attempts: list[Attempt] = []
+        self.serve: Callable = self.accept_request
+        self.draining = False
+        self.receipts = count(1)
+        self.fillers: list[socket.socket] = []
+        self.tasks: set[asyncio.Task] = set()
+        asyncio.get_running_loop().add_reader(self.socket, self._accept)
+
+    def entry(self, phase: str = "up", **other: object) -> dict:
+        """Returns the entry for discovery's list."""
+        return (
+            {
+                "id": self.name,
+                "host_port": self.address,
+                "locality": "a",
+                "flavor": "box",
+                "cell": 0,
+                "phase": phase,
+                "size": 1.0,
+                "up_since_ms": 0,
+            }
+            | self.entry_values
+            | other
+        )
+
+    def _accept(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            link, _ = self.socket.accept()
+            link.setblocking(False)
+            link.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            task = asyncio.create_task(self._connection(link))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+
+    async def _connection(self, link: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=link)
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            while True:
+                first = await reader.readexactly(1)
+                first_byte = now()
+                line = (first + await reader.readuntil(b"\r\n")).decode("latin-1").removesuffix("\r\n")
+                if line == "STATS":
+                    writer.write(b"PONG utilization=0.200,recent_ms=4.0,x0=0.200\r\n")
+                elif line == "PING":
+                    writer.write(b"PONG\r\n")
+                else:
+                    attempt = Attempt(line, first_byte, now(), self.name)
+                    self.attempts.append(attempt)
+                    self.record(self.name, f"received {line}")
+                    await self.serve(self, attempt, reader, writer)
+                    break
+        writer.close()
+
+    @staticmethod
+    async def accept_request(
+        backend: Backend, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Accepts a request and brings each line back."""
+        await backend.open(attempt, reader, writer)
+
+    async def open(
+        self, attempt: Attempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Answers UP, and brings each line back until the relay ends the connection."""
+        receipt = f"{self.name}-{next(self.receipts)}"
+        self.record(self.name, f"answers UP {receipt} to {attempt.id}")
+        writer.write(f"UP {receipt}\r\n".encode())
+        while line := await reader.readline():
+            writer.write(line)
+
+    def hold_connections(self) -> None:
+        """Accepts no connection from now on: those to come do not come up until `accept_connections`.
+
+        The queue of the listening socket is made short and filled, so that the system drops their SYN and the
+        relay's system sends it again a second later.
+        """
+        self.held = True
+        asyncio.get_running_loop().remove_reader(self.socket)
         self.socket.listen(0)
         for _ in range(4):
             filler = socket.socket()
             filler.setblocking(False)
-            filler.connect_ex((self.host, self.port))
-            self._fillers[filler.getsockname()] = filler
-
-    def resume(self) -> None:
-        """Accepts connections again."""
-        self.socket.listen(1024)
-        self._accepting = asyncio.create_task(self._accept())
-
-    def stop(self) -> None:
-        """Dies: resets all connections and takes no new ones."""
-        self._accepting.cancel()
+            filler.connect_ex(self.socket.getsockname())
+            self.fillers.append(filler)
+
+    def accept_connections(self) -> None:
+        """Accepts connections again; one that is still trying comes up with its next SYN."""
+        for filler in self.fillers:
+            filler.close()
+        self.fillers.clear()
+        self.held = False
+        self.socket.listen(256)
+        asyncio.get_running_loop().add_reader(self.socket, self._accept)
+
+    def close(self) -> None:
+        """Ends the backend."""
+        asyncio.get_running_loop().remove_reader(self.socket)
         self.socket.close()
-        for writer in list(self._writers):
-            with contextlib.suppress(OSError):
-                writer.get_extra_info("socket").setsockopt(
-                    socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-                )
-            writer.transport.abort()
-
-    async def serve(self, words: list[str], _writer: asyncio.StreamWriter) -> str | None:
-        """Takes the request."""
-        self.record(f"{self.name} runs {words[1]}")
-        return f"UP {self.name}-{words[1]}"
-
-    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        is_open = False
-        self._writers.add(writer)
-        try:
-            while line := (await reader.readline()).decode("latin-1"):
-                words = line.split()
-                if not line.endswith("\r\n"):
-                    break
-                if is_open:
-                    writer.write(line.encode())
-                elif words[:1] == ["OPEN"] and len(words) == 4:
-                    answer = await self.on_open(words, writer)
-                    if answer is not None and not writer.is_closing():
-                        writer.write(f"{answer}\r\n".encode())
-                        is_open = answer.startswith("UP")
-                        if is_open:
-                            self.held_open.add(writer)
-                        if not is_open:
-                            break
-                elif words == ["PING"]:
-                    writer.write(b"PONG\r\n")
-                elif words == ["STATS"]:
-                    self.before_stats(self)
-                    writer.write(f"PONG latency_ms=5,util={self.load:.2f},x0={self.load:.2f}\r\n".encode())
-                else:
-                    writer.write(b"SYNTAX\r\n")
-                    break
-                await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            self.held_open.discard(writer)
-            self._writers.discard(writer)
-            with contextlib.suppress(OSError, RuntimeError):
-                writer.close()
 
 
 class Discovery:
-    """Discovery as the protocol page has it: the whole list, and watches by `since` and `timeout_ms`."""
+    """Discovery, or the agent where lists are pushed: the whole list, and watches on changes."""
 
-    def __init__(self, record: Record, name: str, members: list[dict[str, Any]], host: str = HOST):
-        """Takes a free port; `start` listens."""
+    def __init__(self, record: Record, members: list[dict], work: float = 0.0) -> None:
+        """Holds the list `members`; the first call of a watch costs `work` s, and calls wait in turn."""
         self.record = record
-        self.name = name
-        self.host = host
-        self.socket = bound_socket(host)
-        self.port = self.socket.getsockname()[1]
-        self.members = {one["id"]: dict(one) for one in members}
-        self.changed = dict.fromkeys(self.members, 1)
-        self.revision = 41
-        self._news = asyncio.Event()
-        # Called before each call is answered; returns a status other than 200 to fail the call.
-        self.before_answer: Callable[[], Awaitable[int]] = self._at_once
-        self.on_answer: Callable[[str, list[str]], Any] = lambda name, listed: None
-        self._server: asyncio.Server | None = None
-
-    @property
-    def address(self) -> str:
-        """Its address."""
-        return f"{self.host}:{self.port}"
+        self.members = {member["id"]: member for member in members}
+        self.revision = 1
+        self.changed_at: dict[str, int] = dict.fromkeys(self.members, 1)
+        self.work = work
+        self.turn = asyncio.Lock()
+        self.told: list[tuple[float, int]] = []  # when which revision was written
+        self.news = asyncio.Condition()
+        self.server: asyncio.Server | None = None
+        self.address = ""
 
     async def start(self) -> None:
-        """Starts to listen."""
-        self._server = await asyncio.start_server(self._connected, sock=self.socket, backlog=1024)
-
-    async def _at_once(self) -> int:
-        return 200
-
-    def add(self, member: dict[str, Any]) -> None:
-        """Lists a new backend."""
-        self.members[member["id"]] = dict(member)
-        self.change(member["id"], member["phase"])
-
-    def change(self, name: str, phase: str) -> None:
-        """Changes a backend's phase and ends the waits of all watches."""
-        self.revision += 1
-        self.members[name]["phase"] = phase
-        self.changed[name] = self.revision
-        self.record(f"{self.name}: {name} is {phase} from revision {self.revision} on")
-        self._news.set()
-        self._news = asyncio.Event()
-
-    async def _connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while head := await reader.readuntil(b"\r\n\r\n"):
-                target = head.split()[1].decode()
-                values = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
-                self.record(f"{self.name}: asked {target}")
-                status = await self.before_answer()
-                since = int(values["since"]) if "since" in values else None
-                if status == 200 and since is not None and since >= self.revision:
+        """Begins to listen."""
+        self.server = await asyncio.start_server(self._connection, "127.0.0.9", 0)
+        self.address = "{}:{}".format(*self.server.sockets[0].getsockname())
+
+    def whole(self) -> dict:
+        """Returns the whole list."""
+        listed = [member for member in self.members.values() if member["phase"] != "removed"]
+        return {"revision": self.revision, "complete": True, "members": listed}
+
+    async def publish(self, *entries: dict) -> None:
+        """Changes the list."""
+        async with self.news:
+            self.revision += 1
+            for entry in entries:
+                self.members[entry["id"]] = entry
+                self.changed_at[entry["id"]] = self.revision
+                self.record("discovery", f"revision {self.revision}: {entry['id']} is {entry['phase']}")
+            self.news.notify_all()
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        is_first = True
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                target = head.split(" ")[1]
+                query = dict(pair.split("=") for pair in target.partition("?")[2].split("&") if pair)
+                since = int(query.get("since", -1))
+                if query:
                     with contextlib.suppress(TimeoutError):
-                        async with asyncio.timeout(int(values["timeout_ms"]) / 1000):
-                            await self._news.wait()
-                body = json.dumps(self._answer(since) if status == 200 else {}).encode()
-                told = ", ".join(f"{one} {row['phase']}" for one, row in self.members.items())
-                writer.write(
-                    f"HTTP/1.1 {status} {'OK' if status == 200 else 'Unavailable'}\r\n"
-                    f"Content-Type: application/json\r\nContent-Length: {len(body)}\r\n\r\n".encode()
-                    + body
-                )
-                self.on_answer(self.name.removeprefix("agent-"), list(self.members))
-                self.record(f"{self.name}: answered {status}" + (f" ({told})" if status == 200 else ""))
+                        async with self.news:
+                            await asyncio.wait_for(
+                                self.news.wait_for(lambda since=since: self.revision > since),
+                                int(query["timeout_ms"]) / 1000,
+                            )
+                if is_first:
+                    self.record("discovery", f"is called: {target}")
+                    is_first = False
+                    async with self.turn:
+                        await asyncio.sleep(self.work)
+                answer = self.whole()
+                if query:
+                    answer["complete"] = False
+                    answer["members"] = [
+                        member for name, member in self.members.items() if self.changed_at[name] > since
+                    ]
+                body = json.dumps(answer).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
                 await writer.drain()
-        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
+                self.told.append((now(), answer["revision"]))
+                self.record("discovery", f"tells revision {answer['revision']} ({target})")
+        writer.close()
+
 
-    def _answer(self, since: int | None) -> dict[str, Any]:
-        members = [
-            {"id": name, **row}
-            for name, row in self.members.items()
-            if since is None or self.changed[name] > since
-        ]
-        return {"revision": self.revision, "complete": since is None, "members": members}
+class NotReadyError(Exception):
+    """A relay has not answered PONG in time."""
 
 
 class Relay:
-    """One relay: its configuration file and its process."""
-
-    def __init__(
-        self,
-        record: Record,
-        name: str,
-        folder: Path,
-        discovery: str,
-        known: dict,
-        config: dict,
-        **limits: Any,
-    ) -> None:
-        """Takes a free port and writes the configuration."""
+    """A relay, started by the deploy file's `run`."""
+
+    def __init__(self, record: Record, folder: Path, name: str, config: dict, **environment: str) -> None:
+        """Writes the configuration; `start` starts the process."""
         self.record = record
+        self.folder = folder
         self.name = name
-        self.host = HOST
-        self.port = free_port(self.host)
+        self.config = config | {"name": name}
         self.path = folder / f"{name}.json"
-        self.folder = folder
-        self.data = {
-            "name": name,
-            "listen": f"{self.host}:{self.port}",
-            "discovery": discovery,
-            "seed": os.urandom(8).hex(),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, **limits},
-            "known": known,
-            "settings": config,
-        }
-        self.write()
+        self.environment = environment
         self.process: asyncio.subprocess.Process | None = None
-
-    def write(self) -> None:
-        """Writes the configuration by renaming."""
-        draft = self.path.with_suffix(".new")
-        draft.write_text(json.dumps(self.data))
-        draft.replace(self.path)
-
-    async def start(self) -> None:
-        """Starts the process and waits until it answers PING."""
-        command = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
-        private = self.folder / f"tmp-{self.name}"
-        private.mkdir(exist_ok=True)
-        log = (self.folder / f"{self.name}.log").open("a")
-        self.record(f"{self.name}: starts")
+        self.started_at = 0.0
+        host, _, port = config["listen"].rpartition(":")
+        self.address = (host, int(port))
+
+    async def start(self, known: dict) -> None:
+        """Starts the process with the list `known`."""
+        self.path.write_text(json.dumps(self.config | {"known": known}))
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        log = (self.folder / f"{self.name}.log").open("ab")
+        self.started_at = now()
         self.process = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
-            command,
+            run,
             cwd=ROOT,
-            env={**os.environ, "BALANCER_CONFIG": str(self.path), "TMPDIR": str(private)},
+            env=os.environ
+            | {"BALANCER_CONFIG": str(self.path), "TMPDIR": str(self.folder)}
+            | self.environment,
+            stdin=asyncio.subprocess.DEVNULL,
             stdout=log,
             stderr=log,
         )
-        for _ in range(300):
+        log.close()
+        self.record(self.name, f"process {self.process.pid} is started")
+
+    async def ready(self, within: float = 30.0) -> None:
+        """Waits until PING is answered PONG. Raises NotReadyError if the process ends or takes too long."""
+        end = now() + within
+        while now() < end:
             if self.process.returncode is not None:
-                break
-            if await self.ping() == "PONG":
-                self.record(f"{self.name}: answers PING with PONG")
-                return
-            await asyncio.sleep(0.1)
-        raise CannotRunError(f"{self.name} is not ready")
-
-    async def ping(self, timeout: float = 1.0) -> str:
-        """Returns the answer to PING, or an empty text."""
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(timeout):
-                reader, writer = await asyncio.open_connection(self.host, self.port)
-                try:
-                    writer.write(b"PING\r\n")
-                    return (await reader.readline()).decode().strip()
-                finally:
-                    writer.close()
-        return ""
-
-    def send_signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the relay."""
-        self.record(f"{self.name}: {number.name}")
+                raise NotReadyError(f"process {self.process.pid} has ended with {self.process.returncode}")
+            with contextlib.suppress(OSError, TimeoutError):
+                client = await Client.connect(self.record, self.address, quiet=True)
+                answer = await client.exchange("PING", 1.0)
+                client.close()
+                if answer == "PONG":
+                    self.record(self.name, "answers PONG")
+                    return
+            await asyncio.sleep(0.02)
+        raise NotReadyError(f"process {self.process.pid} is not ready after {within:.0f} s")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Sends a signal to the process."""
+        self.record(self.name, f"{number.name} to process {self.process.pid}")
         self.process.send_signal(number)
 
-    async def kill(self) -> None:
-        """Ends the process, if it still runs."""
+    def log(self) -> str:
+        """Returns the last line that the relay has logged."""
+        lines = (self.folder / f"{self.name}.log").read_text().splitlines()
+        return lines[-1] if lines else ""
+
+    async def end(self) -> None:
+        """Kills the process, if it is still there."""
         if self.process is not None and self.process.returncode is None:
-            with contextlib.suppress(ProcessLookupError):
-                self.process.kill()
+            self.process.kill()
             await self.process.wait()
 
-    async def request(
-        self, number: str, values: str, key: str = "", stay: float = 0.0, timeout: float = 5.0
-    ) -> str:
-        """Sends an OPEN line and returns the answer: a line, `closed`, or `nothing` by the end of `timeout`.
 
-        `timeout` counts from the line's last byte. Without a connection the answer is `unconnected`.
+class Client:
+    """A client's connection to a relay."""
 
-        A client that is served stays for `stay` seconds, and sends a line every 2 s.
-        """
-        line = f"OPEN {number} {key or number} {values}"
-        sent = self.record(f"client {number} to {self.name}: {line}")
-        answer = "unconnected"
+    def __init__(self, record: Record, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Uses an established connection."""
+        self.record, self.reader, self.writer = record, reader, writer
+        self.id = f"{next(IDS):016x}"
+
+    @classmethod
+    async def connect(cls, record: Record, address: tuple[str, int], quiet: bool = False) -> Client:
+        """Connects to a relay; raises OSError."""
+        reader, writer = await asyncio.open_connection(*address)
+        return cls(record if not quiet else lambda *_: None, reader, writer)
+
+    async def read_line(self, within: float) -> str:
+        """Returns the next line, or how the connection ended; raises TimeoutError."""
         try:
-            async with asyncio.timeout(3.0):
-                reader, writer = await asyncio.open_connection(self.host, self.port)
-                writer.write(f"{line}\r\n".encode())
-                await writer.drain()
-            answer = "nothing"
-            async with asyncio.timeout(timeout):
-                answer = (await reader.readline()).decode().strip() or "closed"
-        except TimeoutError:
-            pass
-        except OSError as error:
-            answer = f"closed ({error.strerror})"
-        self.record(f"client {number} has {answer} after {self.record.now() - sent:.3f} s")
+            line = await asyncio.wait_for(self.reader.readline(), within)
+        except ConnectionError:
+            return "(reset)"
+        return line.decode("latin-1").removesuffix("\r\n") or "(closed)"
+
+    async def exchange(self, line: str, within: float) -> str:
+        """Sends a line and returns the answer; raises TimeoutError."""
+        self.writer.write(line.encode() + b"\r\n")
+        return await self.read_line(within)
+
+    async def open(self, profile: str, timeout_ms: int, key: str = "", extra: str = "") -> str:
+        """Sends OPEN and returns the answer, or "(nothing)" half a second past the client's time."""
+        line = f"OPEN {self.id} {key or self.id} c={profile},d={timeout_ms}{extra}"
+        self.record("client", f"sends {line}")
         try:
-            left = stay if answer.startswith("UP") else 0.0
-            while left > 0:
-                await asyncio.sleep(min(2.0, left))
-                left -= 2.0
-                writer.write(b"m\r\n")
-                async with asyncio.timeout(7):
-                    if (await reader.readline()).strip() in (b"", b"MOVE"):
-                        break
-        except (OSError, TimeoutError):
-            pass
-        finally:
-            with contextlib.suppress(UnboundLocalError):
-                writer.close()
+            answer = await self.exchange(line, timeout_ms / 1000 + 0.5)
+        except TimeoutError:
+            answer = "(nothing)"
+        self.record("client", f"{self.id} is answered {answer}")
         return answer
 
+    def close(self) -> None:
+        """Closes the connection."""
+        self.writer.close()
+
+
+def settings(**other: object) -> dict:
+    """Returns the settings of a small deployment, in the form of the wire page's example."""
+    profile = {
+        "client_timeout": 1_200_000,
+        "credit": 3.0,
+        "group": "all",
+        "late_credit": 0.0,
+        "name": "route-watch",
+        "semantics": "pure",
+        "setup_goal": 300_000,
+        "stream": True,
+        "window": 5_000_000,
+    }
+    return {
+        "allowed": {
+            "cancel": True,
+            "conn_idle": 15_000_000,
+            "connect_timeout": 150_000,
+            "cpu_us_per_request": 0.0,
+            "cpu_us_per_s": 800_000,
+            "max_open": 1_000_000,
+            "max_retry_after": 2_000_000,
+            "most_setups": 6,
+            "multiplex": 1_048_576,
+            "peer_messages": False,
+            "probes": True,
+            "retry_after": False,
+            "second_copies": False,
+        },
+        "client_habits": {"marks_retry": True},
+        "credit_basis": "request",
+        "dcs": ["a"],
+        "domain": {
+            "groups": False,
+            "message_aim": [250_000.0],
+            "mode": "proxy",
+            "park": 0,
+            "tells_delay": True,
+            "tells_load": True,
+            "tenant_quota_connections": [],
+        },
+        "group_size": 1,
+        "host_types": ["box"],
+        "load_report": {"columns": ["recent_ms", "utilization", "x0"], "how": "on_probe"},
+        "me": 0,
+        "membership_mode": "ask",
+        "overage_credit": 0.1,
+        "prices": {"cross_zone": 0.01, "late_fail": 0.08, "moves": 0.013, "probe": 0.0031, "waste": 0.15},
+        "profiles": [profile],
+        "round": 2000,
+        "safety": {
+            "ask_every": 10_000_000,
+            "cold_from": 0.31,
+            "drain_grace": 250_000,
+            "fall_multiple": 3.0,
+            "grace_to_answer": 8000,
+            "overload_for": 1_500_000,
+            "warm_within": 8_900_000,
+        },
+        "service_type": "conn",
+        "tenants": [],
+        "tier": 0,
+        "tiers": ["live-feed"],
+        "weight_kind": "off",
+        "zone": "a",
+    } | other
+
+
+def configuration(discovery: str, site: dict, host: str = "127.0.0.4", sockets: int = 1024) -> dict:
+    """Returns a relay's configuration without its name and its list."""
+    return {
+        "listen": f"{host}:{free_port(host)}",
+        "discovery": discovery,
+        "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": sockets},
+        "settings": site,
+    }
+
 
-class CannotRunError(Exception):
-    """The case could not be played."""
+async def _played(play: Callable, record: Record, work: Path, trouble: bool) -> str:
+    loop = asyncio.get_running_loop()
+    # Connections that are cut as the case ends are no errors of the case.
+    loop.set_exception_handler(lambda *_: None)
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        loop.add_signal_handler(number, asyncio.current_task().cancel)
+    return await asyncio.wait_for(play(record, work, trouble), TIME_LIMIT)
 
 
-def play(case: Callable[[Record, Path, bool], Awaitable[list[str]]], folder: Path) -> int:
-    """Plays a case; returns the exit code: 1 if it returns breaks of the rule, 0 if none, 2 if it fails."""
+def run_case(folder: Path, play: Callable) -> int:
+    """Plays a case and returns its exit code: 1 if the rule was broken, 0 if it held, 2 if it couldn't run.
+
+    `play` gets the record, a temporary folder and whether the disruption happens. It ends all processes that
+    it starts, and returns what broke the rule, or an empty string.
+    """
     record = Record(folder / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    record(f"TROUBLE={int(trouble)}")
-    scratch = Path(tempfile.mkdtemp())
-    try:
-        breaks = asyncio.run(case(record, scratch, trouble))
-    except Exception as why:
-        record(f"could not run: {why!r}")
-        print(f"could not run: {why!r}")
-        return 2
-    finally:
-        for log in sorted(scratch.glob("*.log")):
-            record(f"log of {log.stem}:")
-            for line in log.read_text().splitlines()[-60:]:
-                record(f"    {line}")
-        shutil.rmtree(scratch, ignore_errors=True)
-    for one in breaks:
-        record(f"BROKEN: {one}")
-        print(one)
-    record("the rule was broken" if breaks else "the rule held")
-    return 1 if breaks else 0
+    record("case", f"with the disruption: {'yes' if trouble else 'no'}")
+    with tempfile.TemporaryDirectory(prefix="case-", ignore_cleanup_errors=True) as work:
+        try:
+            broken = asyncio.run(_played(play, record, Path(work), trouble))
+        except (Exception, asyncio.CancelledError) as why:
+            record("case", f"could not run: {why!r}")
+            print(f"could not run: {why!r}")
+            return 2
+    record("case", f"the rule was broken: {broken}" if broken else "the rule held")
+    print(f"the rule was broken: {broken}" if broken else "the rule held")
+    return 1 if broken else 0
