--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,64 +1,113 @@
-"""Connections that were open before the run are ended while discovery works through its calls."""
+"""A request that may have run is sent again after the backends have forgotten it."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
+from itertools import cycle
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from fleet import Backend, Client, Discovery, Record, Relay, configuration, now, run_case, settings
+from fleet import Attempt, Backend, Client, Discovery, Record, Relay, configuration, now, run_case, settings
 
-RELAYS = 4
-# What a first call costs discovery, s; it works through calls in turn. The slow one answers the last of four
-# relays after 2.8 s, which is within the 3 s after which the deployment's discovery would fail a call.
-WORK, SLOW_WORK = 0.05, 0.7
-# A connection that was open before the run and is not up after this time is lost, s.
-UP_WITHIN = 40.0
+PROFILE, CLIENT_TIMEOUT_MS = "session-state", 4800
+# How long the backends discard repeats, s; and what the pages add to each limit: 50 ms on sockets, and 0.15 s
+# for which a relay may be held up between reading its clock and writing.
+WINDOW, SLACK = 1.0, 0.05 + 0.15
+# How long a backend works on a request before it answers ERR, s.
+WORK = 0.4
+REQUESTS = 8
+# A held backend accepts connections again after this time, s; the next SYN comes a second after the first.
+HELD_FOR = 0.7
 
 
-async def open_again(record: Record, relay: Relay, backend: Backend) -> bool:
-    """Opens a connection that the backend held before the run; returns whether it came up."""
-    client = await Client.connect(record, relay.address)
-    line = f"OPEN {client.id} {client.id} c=route-watch,d=1200,at={backend.name}"
-    record("client", f"sends {line} to {relay.name}")
-    started = now()
-    try:
-        answer = await client.exchange(line, UP_WITHIN)
-    except TimeoutError:
-        answer = "(nothing)"
-    record("client", f"{client.id} at {relay.name} is answered {answer} after {now() - started:.2f} s")
-    return answer.startswith("UP ")
+class Group:
+    """The backends that discard repeats of a request, with what they remember."""
+
+    def __init__(self, record: Record, backends: list[Backend], trouble: bool) -> None:
+        """Serves the requests of all `backends`."""
+        self.record = record
+        self.backends = backends
+        self.trouble = trouble
+        self.runs: dict[str, list[float]] = {}  # when each request was run, by id
+        self.turns = cycle((0, None, 1, None))  # which other backend is held for a request; None: none is
+        for backend in backends:
+            backend.serve = self.serve
+
+    async def serve(
+        self,
+        backend: Backend,
+        attempt: Attempt,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Runs a request that the group does not remember; its first run ends with ERR."""
+        runs = self.runs.setdefault(attempt.id, [])
+        if runs and attempt.first_byte <= runs[0] + WINDOW + SLACK:
+            self.record(backend.name, f"discards the repeat of {attempt.id}")
+            await backend.open(attempt, reader, writer)
+            return
+        runs.append(attempt.last_byte)
+        self.record(backend.name, f"runs {attempt.id}, for the {len(runs)}. time")
+        if len(runs) > 1:
+            await backend.open(attempt, reader, writer)
+            return
+        turn = next(self.turns)
+        if self.trouble and turn is not None:
+            self.hold([other for other in self.backends if other is not backend][turn])
+        await asyncio.sleep(WORK)
+        self.record(backend.name, f"answers ERR to {attempt.id}")
+        writer.write(b"ERR\r\n")
+
+    def hold(self, backend: Backend) -> None:
+        """Lets the connections to a backend come up late."""
+        self.record(backend.name, "its connections come up late from now on")
+        backend.hold_connections()
+        asyncio.get_running_loop().call_later(WORK + HELD_FOR, self.release, backend)
+
+    def release(self, backend: Backend) -> None:
+        """Lets the connections to a backend come up at once again."""
+        self.record(backend.name, "its connections come up again")
+        backend.accept_connections()
 
 
 async def play(record: Record, work: Path, trouble: bool) -> str:
-    """Returns the connections that were lost."""
-    backends = [Backend(record, f"box-{number}", f"127.0.1.{number + 1}") for number in range(4)]
-    discovery = Discovery(record, [backend.entry() for backend in backends], SLOW_WORK if trouble else WORK)
+    """Returns the requests that were run twice."""
+    site = settings()
+    site["allowed"]["connect_timeout"] = 1_500_000
+    site["profiles"][0] |= {
+        "name": PROFILE,
+        "semantics": "token",
+        "group": "all",
+        "window": int(WINDOW * 1e6),
+        "setup_goal": 4_000_000,
+        "client_timeout": CLIENT_TIMEOUT_MS * 1000,
+    }
+    backends = [Backend(record, f"box-{number}", f"127.0.1.{number + 1}") for number in range(3)]
+    group = Group(record, backends, trouble)
+    discovery = Discovery(record, [backend.entry() for backend in backends])
     await discovery.start()
-    # The relays' list is older than the last backend, as they last had it.
-    known = discovery.whole()
-    known["revision"], known["members"] = 0, known["members"][:-1]
-    relays = []
+    relay = Relay(record, work, "n1", configuration(discovery.address, site))
     try:
-        for number in range(RELAYS):
-            site = settings(group_size=RELAYS, me=number)
-            config = configuration(discovery.address, site, f"127.0.0.{20 + number}")
-            relays.append(Relay(record, work, f"n{number}", config))
-        await asyncio.gather(*(relay.start(known) for relay in relays))
-        await asyncio.gather(*(relay.ready() for relay in relays))
-        pairs = [(relay, backend) for relay in relays for backend in (backends[0], backends[-1])]
-        up = await asyncio.gather(*(open_again(record, *pair) for pair in pairs))
+        await relay.start(discovery.whole())
+        await relay.ready()
+        # The relay probes each backend meanwhile, and keeps the connections for its next probes.
+        await asyncio.sleep(8)
+        for _ in range(REQUESTS):
+            client = await Client.connect(record, relay.address)
+            started = now()
+            await client.open(PROFILE, CLIENT_TIMEOUT_MS)
+            await asyncio.sleep(started + WORK + HELD_FOR + 2.5 - now())
+            client.close()
     finally:
-        for relay in relays:
-            await relay.end()
-    lost = [
-        f"{relay.name} at {backend.name}"
-        for (relay, backend), is_up in zip(pairs, up, strict=True)
-        if not is_up
+        await relay.end()
+    twice = [
+        f"{request} {runs[-1] - runs[0]:.2f} s apart" for request, runs in group.runs.items() if runs[1:]
     ]
-    return f"{len(lost)} of {len(pairs)} connections were lost: {', '.join(lost)}" if lost else ""
+    if len(group.runs) < REQUESTS:
+        raise RuntimeError(f"only {len(group.runs)} of {REQUESTS} requests have reached a backend")
+    return f"{len(twice)} of {REQUESTS} requests were run twice: {', '.join(twice)}" if twice else ""
 
 
 if __name__ == "__main__":
--- a/review/fleet.py
+++ b/review/fleet.py
@@ -76,6 +76,7 @@
         self.record = record
         self.name = name
         self.entry_values = entry
+        self.load = 0.2  # what it reports to probes
         self.socket = socket.socket()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.bind((host, 0))
@@ -125,7 +126,8 @@
                 first_byte = now()
                 line = (first + await reader.readuntil(b"\r\n")).decode("latin-1").removesuffix("\r\n")
                 if line == "STATS":
-                    writer.write(b"PONG utilization=0.200,recent_ms=4.0,x0=0.200\r\n")
+                    report = f"utilization={self.load:.3f},recent_ms=4.0,x0={self.load:.3f}"
+                    writer.write(f"PONG {report}\r\n".encode())
                 elif line == "PING":
                     writer.write(b"PONG\r\n")
                 else:
@@ -315,10 +317,9 @@
         self.record(self.name, f"{number.name} to process {self.process.pid}")
         self.process.send_signal(number)
 
-    def log(self) -> str:
-        """Returns the last line that the relay has logged."""
-        lines = (self.folder / f"{self.name}.log").read_text().splitlines()
-        return lines[-1] if lines else ""
+    def log_lines(self) -> list[str]:
+        """Returns the lines that the relay has logged."""
+        return (self.folder / f"{self.name}.log").read_text().splitlines()
 
     async def end(self) -> None:
         """Kills the process, if it is still there."""
