--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,20 +4,33 @@
 
 import asyncio
 import sys
-from itertools import cycle
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from fleet import Attempt, Backend, Client, Discovery, Record, Relay, configuration, now, run_case, settings
+from fleet import (
+    Attempt,
+    Backend,
+    Client,
+    Discovery,
+    Record,
+    Relay,
+    configuration,
+    now,
+    reset,
+    run_case,
+    settings,
+)
 
 PROFILE, CLIENT_TIMEOUT_MS = "session-state", 4800
 # How long the backends discard repeats, s; and what the pages add to each limit: 50 ms on sockets, and 0.15 s
 # for which a relay may be held up between reading its clock and writing.
 WINDOW, SLACK = 1.0, 0.05 + 0.15
-# How long a backend works on a request before it answers ERR, s.
+# How long after its arrival a request's connection is reset, s, where it is; and for how many requests.
 WORK = 0.4
-REQUESTS = 8
+REQUESTS, RESET_EVERY = 12, 3
+# The most of the connections that may come up late.
+LATE_SHARE = 1 / 3
 # A held backend accepts connections again after this time, s; the next SYN comes a second after the first.
 HELD_FOR = 0.7
 
@@ -31,7 +44,6 @@
         self.backends = backends
         self.trouble = trouble
         self.runs: dict[str, list[float]] = {}  # when each request was run, by id
-        self.turns = cycle((0, None, 1, None))  # which other backend is held for a request; None: none is
         for backend in backends:
             backend.serve = self.serve
 
@@ -42,7 +54,7 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        """Runs a request that the group does not remember; its first run ends with ERR."""
+        """Runs a request that the group does not remember; some connections are reset under it."""
         runs = self.runs.setdefault(attempt.id, [])
         if runs and attempt.first_byte <= runs[0] + WINDOW + SLACK:
             self.record(backend.name, f"discards the repeat of {attempt.id}")
@@ -50,15 +62,15 @@
             return
         runs.append(attempt.last_byte)
         self.record(backend.name, f"runs {attempt.id}, for the {len(runs)}. time")
-        if len(runs) > 1:
+        if len(runs) > 1 or not self.trouble or len(self.runs) % RESET_EVERY:
             await backend.open(attempt, reader, writer)
             return
-        turn = next(self.turns)
-        if self.trouble and turn is not None:
-            self.hold([other for other in self.backends if other is not backend][turn])
+        for other in self.backends:
+            if other is not backend:
+                self.hold(other)
         await asyncio.sleep(WORK)
-        self.record(backend.name, f"answers ERR to {attempt.id}")
-        writer.write(b"ERR\r\n")
+        self.record(backend.name, f"the connection of {attempt.id} is reset")
+        reset(writer)
 
     def hold(self, backend: Backend) -> None:
         """Lets the connections to a backend come up late."""
@@ -102,6 +114,11 @@
             client.close()
     finally:
         await relay.end()
+    connections = sum(backend.connections for backend in backends)
+    late = sum(backend.late_connections for backend in backends)
+    record("case", f"{late} of {connections} connections to backends have come up late")
+    if late > LATE_SHARE * connections:
+        raise RuntimeError("more connections than allowed have come up late")
     twice = [
         f"{request} {runs[-1] - runs[0]:.2f} s apart" for request, runs in group.runs.items() if runs[1:]
     ]
