Connections from before the run wait until discovery has told its list

Callers saw: a connection that was open before the run (`at=`) at a backend which the relay's first list lacks was answered ERR after 2 s while discovery worked through its calls, though it has 40 s.

Cause: Tunnels._adopt ended it after UNKNOWN_BACKEND_TIMEOUT (2 s) whether discovery had answered or not. An answer without changes did not count as having heard discovery, so the constant stood in for it.

Why this works: the wait ends by what decides it, discovery's answer, within the 38 s of all else. An answer that says the list is current now ends it too, an answer out of sequence that is not applied does not. Only a request of this kind that follows new ones, which no client sends, keeps the 2 s. The log says why one is given up.

--- a/cedarledge/net/backend_registry.py
+++ b/cedarledge/net/backend_registry.py
@@ -41,7 +41,8 @@
         self.addresses: dict[int, Address] = {}  # of all backends that a list has ever named
         self.entries: dict[int, dict[str, Any]] = {}  # of the backends on the list, as discovery sent them
         self.ready: set[int] = set()
-        self.has_discovery_list = False  # from discovery itself, not only the list from this relay's start
+        # Discovery has sent the list, or has answered that the one from this relay's start is current.
+        self.has_discovery_list = False
         self.banned: dict[int, int] = {}  # by operators, and since when
         self.readmitted: dict[int, int] = {}  # backends whose ban was lifted, and when
         self.start_times = StartTimes(policy_host.clock)
@@ -89,7 +90,11 @@
         Raises KeyError, TypeError or ValueError, and then nothing has changed.
         """
         self.apply_list(ListForm.WHOLE if whole else ListForm.CHANGES, members)
-        self.has_discovery_list = True
+
+    def discovery_answered(self, is_current: bool) -> None:
+        """Notes an answer of discovery, after which the list here is its current one or is not."""
+        self.start_times.mark_list_current()
+        self.has_discovery_list = self.has_discovery_list or is_current
 
     def apply_list(self, form: ListForm, members: list[dict[str, Any]]) -> None:
         """Applies a list from any source; raises as `update` does."""
--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -253,14 +253,15 @@
         random: Callable[[], float],
         on_update: Callable[[bool, list], None],
         on_failure: Callable[[], None],
-        on_answer: Callable[[], None] = lambda: None,
+        on_answer: Callable[[bool], None] = lambda _is_current: None,
     ) -> None:
         """Follows the list from `revision` on once `start` is called; `wait` is the settings' interval in ns.
 
         `on_update` gets whether the list is whole, and its members; it raises if they are invalid. With
         `pushed` a failed call is repeated here after PUSHED_RETRY_DELAY. Otherwise `on_failure` lets the
         policy choose when to call `start`, and RETRY_WITHIN is the limit. `on_answer` is called after each
-        valid answer, also one without changes.
+        valid answer, also one without changes, with whether the list is discovery's current one now; it is
+        not after an answer out of sequence that could not be applied.
         """
         self._reactor = reactor
         self._timers = timers
@@ -363,11 +364,12 @@
                 self._on_update(whole, members)
         except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as error:
             raise HttpError(f"not a list: {error!r}") from error
-        self._on_answer()
+        early = self._timers.now() - self._sent_at < self._wait // 2
+        in_sequence = newer or not (members or early)
+        self._on_answer(in_sequence or whole)
         self._timers.cancel(self._timer)
         self._has_timed_out = self._has_failed = False
-        early = self._timers.now() - self._sent_at < self._wait // 2
-        if newer or not (members or early):
+        if in_sequence:
             self._revision = revision
             if response.closes:
                 self._disconnect()
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -129,7 +129,7 @@
                 self.policy_host.random,
                 self.registry.update,
                 self.registry.mark_unavailable,
-                self.registry.start_times.mark_list_current,
+                self.registry.discovery_answered,
             )
             self.tunnels = Tunnels(
                 self.context,
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -28,8 +28,9 @@
 # Connections that were open before the run must be open again within 40 s of its start. For one of them: time
 # for all attempts, time to connect, and delay before the next attempt.
 ADOPT_TIMEOUT, ADOPT_CONNECT_TIMEOUT, ADOPT_RETRY_DELAY = 38 * SECOND, 4 * SECOND, 250 * MS
-# How long such a connection waits for a list that contains its backend.
-UNKNOWN_BACKEND_TIMEOUT = 2 * SECOND
+# How long a request of this kind that follows new requests, and so is not genuine, waits for discovery to
+# list its backend.
+LATE_ADOPT_LIST_TIMEOUT = 2 * SECOND
 # Time constant of the decaying count of clients that came from other relays.
 RETURNED_CLIENTS_LIFETIME = 4 * SECOND
 # Names of the counters in the log.
@@ -47,6 +48,7 @@
         "known_to_policy",
         "message_timer",
         "open_request",
+        "precedes_new_requests",
         "profile",
         "request",
         "setup",
@@ -75,6 +77,7 @@
         self.setup: SetupConnection | None = None
         self.message_timer: MessageTimer | None = None
         self.known_to_policy = False
+        self.precedes_new_requests = False  # it arrived before any request for a new connection
         self.is_open = self.closed = False
 
 
@@ -239,6 +242,7 @@
         self._counts["taken"] += 1
         self.observers.notify("arrived", tunnel_id, profile, open_request.returning)
         if open_request.previous_backend is not None:
+            tunnel.precedes_new_requests = not self.saw_new_request
             self._adopt(tunnel_id)
             return tunnel_id
         tunnel.known_to_policy = self.saw_new_request = True
@@ -301,21 +305,32 @@
             return
         age = self.clock() - tunnel.began
         backend_id = self.registry.backend_ids.get(tunnel.open_request.previous_backend)
-        if age >= ADOPT_TIMEOUT or backend_id in self.registry.banned:
-            self.close_with_error(tunnel_id)
+        if age >= ADOPT_TIMEOUT:
+            self._give_up_adoption(tunnel_id, "its time is over")
+        elif backend_id in self.registry.banned:
+            self._give_up_adoption(tunnel_id, "operators have taken its backend offline")
         elif backend_id in self.registry.addresses:
             self._begin_attempt(tunnel_id, backend_id, ADOPT_TIMEOUT - age, ADOPT_CONNECT_TIMEOUT)
-        elif self.registry.has_discovery_list or age > UNKNOWN_BACKEND_TIMEOUT:
-            # The list does not contain the backend. Until discovery has answered, it may only be newer than
-            # the list that this relay was started with, so the connection waits for a while.
-            self.close_with_error(tunnel_id)
+        elif self.registry.has_discovery_list:
+            self._give_up_adoption(tunnel_id, "discovery does not list its backend")
+        elif age > LATE_ADOPT_LIST_TIMEOUT and not tunnel.precedes_new_requests:
+            self._give_up_adoption(tunnel_id, "discovery has not answered, and new requests came before it")
         else:
+            # The backend may be newer than the list that this relay was started with, which only discovery's
+            # answer can tell.
             if age < ADOPT_RETRY_DELAY:
                 # Relays that start together spread their first call of the discovery service; this
                 # connection can't wait for it.
                 self.policy_host.request_list()
             self.timers.after(ADOPT_RETRY_DELAY, self._adopt, tunnel_id)
 
+    def _give_up_adoption(self, tunnel_id: int, reason: str) -> None:
+        open_request = self.table.get(tunnel_id).open_request
+        self.context.rate_limited_log.warn(
+            "adoption", f"{open_request.id} is not opened again at {open_request.previous_backend}: {reason}"
+        )
+        self.close_with_error(tunnel_id)
+
     # -- events of attempts ------------------------------------------------------------------------
 
     def may_send(self, tunnel_id: int, backend_id: int) -> bool:
