A new request no longer ends the retries of connections from before the run

Callers saw: a connection that was open before the run (`at=`), turned away by its backend for the moment (BUSY, refused), was answered ERR at its next try if a new client had come to the relay meanwhile.

Cause: Tunnels.setup_over asked whether any new request had ever come (saw_new_request), to bound what late requests of this kind may hold; that holds for those that had come before it as well.

Evidence: the test: the request comes first, its backend answers BUSY, a new client is served, and the next BUSY ends the first one (ERR after two attempts; the backend never gets the third).

Why this works: each tunnel keeps whether it came before any new request, which bounds the same requests as before and no others.

--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -452,12 +452,11 @@
             else:
                 tunnel.client.finish()
         if not tunnel.known_to_policy:
-            # Retried only until the first new request. The run begins once all connections that were open
-            # before are open again, so a later request of this kind is not genuine and must not occupy a slot
-            # and load a backend for as long.
+            # The run begins once all connections that were open before are open again. One that comes after a
+            # new request is not genuine, and must not occupy a slot and load a backend for as long.
             if (
                 outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
-                and not self.saw_new_request
+                and tunnel.precedes_new_requests
             ):
                 self.timers.after(ADOPT_RETRY_DELAY, self._adopt, tunnel_id)
             else:
--- a/tests/test_adopted_connections.py
+++ b/tests/test_adopted_connections.py
@@ -93,3 +93,18 @@
         send_open(client, AT_LATE_BACKEND)
         assert client.read_line() == "ERR"
         assert time.monotonic() - relay.discovery.answered[0] < ANSWER_WITHIN_S
+
+
+def test_a_new_request_does_not_end_the_retries_of_a_connection_from_before_the_run(tmp_path: Path) -> None:
+    """Guards against ending one that its backend has not taken yet because a new client has come."""
+    backends = [Backend("early"), Backend("late", "BUSY")]
+    with RelayProgram(tmp_path, backends) as relay:
+        relay.discovery.publish(backends[1].entry("draining"))
+        wait_until(lambda: len(relay.discovery.calls) > 1)
+        client = relay.client()
+        send_open(client, AT_LATE_BACKEND)
+        wait_until(lambda: backends[1].open_lines)
+        assert relay.client().open() == "UP r"
+        wait_until(lambda: len(backends[1].open_lines) > 2)
+        backends[1].modes = ["UP r"]
+        assert client.read_line() == "UP r"
