A repeat is written only within its window and its group

Callers saw: a token request ran twice. Its first connection was reset 0.4 s after it had run, the next one came up 1.02 s late, and the relay wrote the request there 1.41 to 1.44 s after it had sent it first, at a window of 1 s.

Cause: policy and RequestGuard look at the window and the group as an attempt begins. A send is the write, which waits for the connection, and Tunnels.may_send looked again at bans and drains only.

Why this works: an attempt after one that may have run has a send deadline, the end of the window. It bounds the connect, so the client is answered then; as the connection comes up window and group are looked at again, also where a pause of the relay has it read the connection before its late timers; a line that the system takes in parts has until then for its last byte. What ends so counts as not sent, and ejects nobody.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -173,8 +173,12 @@
         address: Address,
         line_for_backend: Callable[[int], bytes],
         timeout: int,
+        send_deadline: int | None = None,
     ) -> None:
-        """`line_for_backend` returns the line for the backend, given how long the relay will wait, ns."""
+        """`line_for_backend` returns the line for the backend, given how long the relay will wait, ns.
+
+        Past `send_deadline` (ns on the relay's clock; None: no limit) the line must not be written any more.
+        """
         super().__init__(backends.context, address)
         self.backends = backends
         self.tunnel_id = tunnel_id
@@ -182,25 +186,46 @@
         self.line_for_backend = line_for_backend
         self.began = self.context.clock()
         self.expires_at = self.began + timeout
+        self.send_deadline = send_deadline
         self.writing = self.written = self.opened = self.reported = False
         # From the backend's last line, if that announces the end of an open connection.
         self.announced_end: tuple[Outcome, LoadReport | None] | None = None
 
+    def start(self, connect_timeout: int) -> None:
+        """Starts to connect, for at most `connect_timeout` ns and no longer than the line may be written."""
+        time_to_send = self._time_to_send()
+        limit = min(connect_timeout, self.expires_at - self.began)
+        limit = limit if time_to_send is None else min(limit, time_to_send)
+        # If the whole setup has no more time than the connect, its end may be the client's answer.
+        self.connect(limit, pending_reads_first=connect_timeout < self.expires_at - self.began)
+
+    def _time_to_send(self) -> int | None:
+        return None if self.send_deadline is None else self.send_deadline - self.context.clock()
+
     def on_connected(self) -> None:
         """Asks for the first line to be written, or gives up if it may not be any more."""
-        left = self.expires_at - self.context.clock()
-        if left <= 0 or not self.backends.observer.may_send(self.tunnel_id, self.backend_id):
+        if self.expires_at <= self.context.clock() or not self.backends.observer.may_send(
+            self.tunnel_id, self.backend_id
+        ):
             # The backend may have started to drain meanwhile: a request counts as sent when it is written.
-            self.abort()
-            self._report(Outcome.NOT_SENT)
+            self._give_up_unsent()
             return
-        # If the client has no time for another setup, the end of this one is its answer and is not put off.
-        spare = self.backends.observer.client_time_left(self.tunnel_id) - left
-        self.set_deadline(left, self._timed_out, pending_reads_first=spare > MAX_REACTOR_TURN)
+        self._await_answer()
         # As a pull producer it is asked once for the line, and once more when the system has taken the part
         # that it did not take at once.
         self.transport.registerProducer(self, False)
 
+    def _await_answer(self) -> None:
+        left = self.expires_at - self.context.clock()
+        # If the client has no time for another setup, the end of this one is its answer and is not put off.
+        spare = self.backends.observer.client_time_left(self.tunnel_id) - left
+        self.set_deadline(left, self._timed_out, pending_reads_first=spare > MAX_REACTOR_TURN)
+
+    def _give_up_unsent(self) -> None:
+        # Aborted before the report, which may start the next setup: a client never has two at once.
+        self.abort()
+        self._report(Outcome.NOT_SENT)
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Writes the first line, and notes when the system has taken all of it."""
         if not self.writing:
@@ -212,10 +237,19 @@
                 return
             self.writing = True
             if not self.send_lines([line]):
+                self._limit_writing()
                 return
+        elif self.send_deadline is not None:
+            self._await_answer()
         self.written = True
         self.transport.unregisterProducer()
 
+    def _limit_writing(self) -> None:
+        """Bounds the time in which the system takes the rest of the line: it counts from its last byte."""
+        time_to_send = self._time_to_send()
+        if time_to_send is not None and time_to_send < self.expires_at - self.context.clock():
+            self.set_deadline(time_to_send, self._give_up_unsent)
+
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing: the connection broke before the line was written, and connectionLost handles it."""
 
@@ -268,9 +302,18 @@
         if self.opened:
             outcome, report = self.announced_end or (Outcome.RESET, None)
         else:
-            outcome, report = (Outcome.RESET if self.written else Outcome.CONNECT_FAILED), None
+            outcome, report = self._outcome_without_answer(), None
         self._report(outcome, report, abrupt)
 
+    def _outcome_without_answer(self) -> Outcome:
+        if self.written:
+            return Outcome.RESET
+        time_to_send = self._time_to_send()
+        if time_to_send is not None and time_to_send <= 0:
+            # Ended by this relay, sooner than a backend has to accept a connection.
+            return Outcome.NOT_SENT
+        return Outcome.CONNECT_FAILED
+
     def cancel(self, abrupt: bool = False) -> None:
         """Ends without a report, because the client has left or was moved."""
         self.reported = True
@@ -400,11 +443,16 @@
         line_for_backend: Callable[[int], bytes],
         timeout: int,
         connect_timeout: int,
+        send_deadline: int | None = None,
     ) -> SetupConnection:
-        """Starts a setup that ends within `timeout` ns. Raises NoFreeSlotError."""
-        connection = SetupConnection(self, tunnel_id, backend_id, address, line_for_backend, timeout)
-        # If the whole setup has no more time than the connect, its end may be the client's answer.
-        connection.connect(min(connect_timeout, timeout), pending_reads_first=connect_timeout < timeout)
+        """Starts a setup that ends within `timeout` ns, and writes nothing past `send_deadline`.
+
+        Raises NoFreeSlotError.
+        """
+        connection = SetupConnection(
+            self, tunnel_id, backend_id, address, line_for_backend, timeout, send_deadline
+        )
+        connection.start(connect_timeout)
         return connection
 
     def probe(self, backend_id: int, address: Address) -> None:
--- a/cedarledge/net/request_guard.py
+++ b/cedarledge/net/request_guard.py
@@ -58,6 +58,10 @@
         """Returns the first attempt that may have run; None if there is none."""
         return next((attempt for attempt in self.attempts if attempt.may_have_run), None)
 
+    def earlier_possible_run(self) -> Attempt | None:
+        """Returns the first attempt before the last one that may have run; None if there is none."""
+        return next((attempt for attempt in self.attempts[:-1] if attempt.may_have_run), None)
+
     def describe(self, names: Sequence[str], now: int) -> str:
         """Returns the request id, the time left and the outcome and age of each attempt, for the log."""
         attempts = ", ".join(
@@ -126,18 +130,33 @@
             return Invariant.ATTEMPT_PAST_DEADLINE
         if not is_ready:
             return Invariant.ATTEMPT_AT_DRAINING
-        if not self._may_repeat(request, backend_id, now):
+        if not self._may_repeat(request, request.first_possible_run(), backend_id, now - TIME_LIMIT_GRACE):
             return Invariant.REPEATED_EFFECT
         return None
 
-    def _may_repeat(self, request: RequestRecord, backend_id: int, now: int) -> bool:
-        first = request.first_possible_run()
+    def may_send(self, request: RequestRecord, backend_id: int) -> bool:
+        """Returns whether the attempt in progress may be written to its backend now.
+
+        Its connection may have taken long to come up: meanwhile the backends may have forgotten an earlier
+        attempt, or the list may have moved this one to another deduplication group.
+        """
+        return self._may_repeat(request, request.earlier_possible_run(), backend_id, self._clock())
+
+    def send_deadline(self, request: RequestRecord) -> int | None:
+        """Returns until when the attempt in progress may be written, in ns; None if no window limits it."""
+        first = request.earlier_possible_run()
+        if first is None or not self._classes:
+            return None
+        row = self._classes[request.request_class]
+        return first.began + row.window if row.effect is Effect.DEDUPLICATED else None
+
+    def _may_repeat(self, request: RequestRecord, first: Attempt | None, backend_id: int, now: int) -> bool:
         if first is None or not self._classes:
             return True
         row = self._classes[request.request_class]
         if row.effect is not Effect.DEDUPLICATED:
             return row.effect is Effect.IDEMPOTENT
-        if now >= first.began + row.window + TIME_LIMIT_GRACE:
+        if now >= first.began + row.window:
             return False
         field = GROUP_FIELDS.get(row.dedup)
         return field is None or _value(first.entry, field) == _value(self._listed.get(backend_id), field)
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -171,6 +171,7 @@
                 tunnel.open_request.line_for_backend,
                 timeout,
                 connect_timeout,
+                self.guard.send_deadline(tunnel.request),
             )
         except NoFreeSlotError:
             self._report_not_sent(tunnel_id, backend_id)
@@ -336,14 +337,15 @@
     def may_send(self, tunnel_id: int, backend_id: int) -> bool:
         """Returns whether the request may be written to the backend now.
 
-        New requests need a backend that is ready. Connections that were open before only need one that
-        operators have not taken offline.
+        New requests need a backend that is ready, and that still discards them if they may have run.
+        Connections that were open before only need one that operators have not taken offline.
         """
         tunnel = self.table.get(tunnel_id)
         return (
             tunnel is not None
             and backend_id not in self.registry.banned
             and (backend_id in self.registry.ready or not tunnel.known_to_policy)
+            and self.guard.may_send(tunnel.request, backend_id)
         )
 
     def client_time_left(self, tunnel_id: int) -> int:
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -123,6 +123,37 @@
     assert scene.guard.may_reject(request) and not scene.violations
 
 
+@mark.parametrize(
+    ("request_class", "may_go_to"),
+    [(IDEMPOTENT, {0, 1, 2}), (DEDUP_ALL, {0, 1, 2}), (DEDUP_ZONE, {0, 1}), (DEDUP_CELL, {0})],
+)
+def test_a_repeat_is_written_only_in_its_group_and_in_its_window(
+    scene: Scene, request_class: int, may_go_to: set[int]
+) -> None:
+    """Guards against a second execution where an attempt begins in time and its connection comes up late."""
+    request = scene.record_attempt(scene.request(request_class), Outcome.RESET)
+    scene.guard.record_attempt(request, 1)
+    window = make_settings().request_classes[request_class].window
+    deadline = scene.guard.send_deadline(request)
+    assert deadline == (None if request_class == IDEMPOTENT else request.attempts[0].began + window)
+    scene.now += window - 1
+    assert {backend for backend in LISTED if scene.guard.may_send(request, backend)} == may_go_to
+    scene.now += 1
+    later = {backend for backend in LISTED if scene.guard.may_send(request, backend)}
+    assert later == (may_go_to if request_class == IDEMPOTENT else set())
+
+
+@mark.parametrize("request_class", [DEDUP_ALL, DEDUP_CELL, NON_IDEMPOTENT])
+def test_an_attempt_after_none_that_may_have_run_is_written_whenever_its_connection_comes_up(
+    scene: Scene, request_class: int
+) -> None:
+    """Guards against counting the attempt in progress as one that may have run."""
+    request = scene.record_attempt(scene.request(request_class), Outcome.CONNECT_FAILED)
+    scene.guard.record_attempt(request, 2)
+    scene.now += 10 * SECOND
+    assert scene.guard.may_send(request, 2) and scene.guard.send_deadline(request) is None
+
+
 def test_timers_that_the_reactor_loses_are_called_and_counted() -> None:
     """Guards against timers that the reactor never calls, as after a step back of the wall clock."""
     reactor, called, stuck = Clock(), [], []
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -202,7 +202,12 @@
         self.disconnecting = True
 
 
-def start_setup() -> tuple[MemoryReactorClock, list[Outcome]]:
+# The setups of these tests: their connect limit, their whole time, and until when one may be written, if that
+# is limited.
+CONNECT_TIMEOUT, SETUP_TIMEOUT, SEND_DEADLINE = 150 * MS, 2 * SECOND, 100 * MS
+
+
+def start_setup(send_deadline: int | None = None) -> tuple[MemoryReactorClock, list[Outcome]]:
     """Starts a setup whose connect is in progress, and returns the list of its outcomes."""
     reactor, outcomes = MemoryReactorClock(), []
 
@@ -230,7 +235,7 @@
         SECOND,
         b"PING",
     )
-    backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", 2 * SECOND, 150 * MS)
+    backends.set_up(0, 0, ("127.0.0.1", 9), lambda _: b"OPEN", SETUP_TIMEOUT, CONNECT_TIMEOUT, send_deadline)
     return reactor, outcomes
 
 
@@ -283,6 +288,38 @@
     assert outcomes == [outcome]
 
 
+def test_a_connect_ends_at_the_send_deadline_and_says_nothing_of_the_backend() -> None:
+    """Guards against ejecting a backend that had less time to accept than the settings' limit."""
+    reactor, outcomes = start_setup(SEND_DEADLINE)
+    reactor.advance(SEND_DEADLINE / SECOND)
+    reactor.advance(0)  # what lies unread is read before the deadline counts
+    assert outcomes == [Outcome.NOT_SENT]
+    reactor, outcomes = start_setup(SETUP_TIMEOUT)
+    reactor.advance(CONNECT_TIMEOUT / SECOND)
+    reactor.advance(0)
+    assert outcomes == [Outcome.CONNECT_FAILED]
+
+
+def test_a_line_that_the_system_takes_in_parts_is_not_finished_past_the_send_deadline() -> None:
+    """Guards against a second execution: an attempt counts when its last byte has come."""
+    reactor, outcomes = start_setup(SEND_DEADLINE)
+    _, transport = establish(reactor, takes=3)
+    reactor.advance(SEND_DEADLINE / SECOND)
+    assert outcomes == [Outcome.NOT_SENT] and transport.disconnected
+
+
+@mark.parametrize("takes", [99, 3], ids=["whole", "in parts"])
+def test_a_line_written_before_the_send_deadline_keeps_its_whole_time(takes: int) -> None:
+    reactor, outcomes = start_setup(SEND_DEADLINE)
+    _, transport = establish(reactor, takes)
+    if takes < 99:
+        transport.producer.resumeProducing()  # the system takes the rest
+    reactor.advance(1.9)
+    assert not outcomes and not transport.disconnected
+    reactor.advance(0.1)
+    assert outcomes == [Outcome.TIMEOUT]
+
+
 def test_a_probe_connection_closed_at_its_idle_limit_does_not_fail_the_next_probe() -> None:
     reactor, answered = MemoryReactorClock(), []
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -158,7 +158,14 @@
     # -- fakes of Backends and Watch ---------------------------------------------------------------
 
     def set_up(
-        self, tunnel_id: int, backend_id: int, address: Any, head: Any, timeout: int, within: int
+        self,
+        tunnel_id: int,
+        backend_id: int,
+        address: Any,
+        head: Any,
+        timeout: int,
+        within: int,
+        send_deadline: int | None,
     ) -> FakeAttempt:
         assert tunnel_id not in self.attempts, "two attempts of one request at once"
         if self.full:
