A request of which the system took nothing is checked again before it is written

Where the system's call for the first write takes nothing (EAGAIN, ENOBUFS), the line was left to Twisted, which writes it when it can: past a drain or a ban that was told meanwhile, past the window, or after the client had left.

Cause: SetupConnection.resumeProducing took the line for begun once it had asked the system, whatever the system had taken; bans, drains, window and client were looked at before that only.

Evidence: the test, on a transport in memory whose system takes 0 bytes: after a drain the whole line is queued all the same, and the attempt goes on. A line begun (3 bytes taken) is finished, as a send counts from its first byte.

Why this works: nothing is queued while no byte was taken. The connection is asked again once the system can take data (startWriting, as its pull producer), and everything is looked at anew right before the call.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -18,7 +18,7 @@
 
 from cedarledge.net.config import Address
 from cedarledge.net.line_connection import ConnectionContext, LineConnection
-from cedarledge.net.lines import parse_finite
+from cedarledge.net.lines import END, parse_finite
 from cedarledge.net.probe_latency import ProbeLatencies
 from cedarledge.net.slots import NoFreeSlotError
 from cedarledge.net.timers import Timer
@@ -203,16 +203,10 @@
         return None if self.send_deadline is None else self.send_deadline - self.context.clock()
 
     def on_connected(self) -> None:
-        """Asks for the first line to be written, or gives up if it may not be any more."""
-        if self.expires_at <= self.context.clock() or not self.backends.observer.may_send(
-            self.tunnel_id, self.backend_id
-        ):
-            # The backend may have started to drain meanwhile: a request counts as sent when it is written.
-            self._give_up_unsent()
-            return
+        """Asks for the first line to be written."""
         self._await_answer()
-        # As a pull producer it is asked once for the line, and once more when the system has taken the part
-        # that it did not take at once.
+        # As a pull producer it is asked for the line until the system has taken a part of it, and once more
+        # when the system has taken the rest.
         self.transport.registerProducer(self, False)
 
     def _await_answer(self) -> None:
@@ -223,29 +217,53 @@
 
     def _give_up_unsent(self) -> None:
         # Aborted before the report, which may start the next setup: a client never has two at once.
+        self.transport.unregisterProducer()
         self.abort()
         self._report(Outcome.NOT_SENT)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Writes the first line, and notes when the system has taken all of it."""
-        if not self.writing:
-            line = self.line_for_backend(self.expires_at - self.context.clock())
-            # Checked right before the write, as the client may leave while this process is paused.
-            if self.backends.observer.client_has_left(self.tunnel_id):
-                # The client's end is read in this turn of the reactor or the next, which cancels this setup.
-                self.transport.unregisterProducer()
-                return
-            self.writing = True
-            if not self.send_lines([line]):
-                self._limit_writing()
-                return
-        elif self.send_deadline is not None:
-            self._await_answer()
+        if self.writing:
+            self._line_written()
+        elif not self._may_write():
+            # The backend may have started to drain meanwhile: a request counts as sent when it is written.
+            self._give_up_unsent()
+        elif self.backends.observer.client_has_left(self.tunnel_id):
+            # Checked right before the write, as the client may leave while this process is paused. The
+            # client's end is read in this turn of the reactor or the next, which cancels this setup.
+            self.transport.unregisterProducer()
+        else:
+            self._write_line()
+
+    def _may_write(self) -> bool:
+        has_time = self.context.clock() < self.expires_at
+        return has_time and self.backends.observer.may_send(self.tunnel_id, self.backend_id)
+
+    def _write_line(self) -> None:
+        line = self.line_for_backend(self.expires_at - self.context.clock()) + END
+        taken = self.send_now(line)
+        if taken is None:
+            return  # the connection is broken; the reactor will notice
+        if not taken:
+            # Nothing was sent, so all is checked again once the system can take data.
+            self._limit_writing()
+            self.transport.startWriting()
+            return
+        self.writing = True
+        if taken == len(line):
+            self._line_written()
+        else:
+            self._limit_writing()
+            self.transport.write(line[taken:])
+
+    def _line_written(self) -> None:
         self.written = True
+        if self.send_deadline is not None:
+            self._await_answer()
         self.transport.unregisterProducer()
 
     def _limit_writing(self) -> None:
-        """Bounds the time in which the system takes the rest of the line: it counts from its last byte."""
+        """Bounds the time in which the system takes the line, as an attempt counts from its last byte."""
         time_to_send = self._time_to_send()
         if time_to_send is not None and time_to_send < self.expires_at - self.context.clock():
             self.set_deadline(time_to_send, self._give_up_unsent)
--- a/cedarledge/net/line_connection.py
+++ b/cedarledge/net/line_connection.py
@@ -129,16 +129,24 @@
         transport = self.transport
         # Private buffers of Twisted's transport, by their names in the pinned version.
         if not transport.dataBuffer and not transport._tempDataBuffer and self.up and not self.ending:
-            try:
-                data = data[transport.socket.send(data) :]
-            except OSError as error:
-                if error.errno not in TRANSIENT_IO_ERRORS:
-                    # The connection is broken; the reactor will notice and call connectionLost.
-                    return False
+            taken = self.send_now(data)
+            if taken is None:
+                return False
+            data = data[taken:]
         if data:
             transport.write(data)
         return not data
 
+    def send_now(self, data: bytes) -> int | None:
+        """Passes data directly to the system and returns how many bytes it took; no data may be queued.
+
+        None: the connection is broken, and the reactor will notice and call connectionLost.
+        """
+        try:
+            return self.transport.socket.send(data)
+        except OSError as error:
+            return 0 if error.errno in TRANSIENT_IO_ERRORS else None
+
     def finish(self) -> None:
         """Ends the connection once everything is written.
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from contextlib import suppress
 from heapq import heappop, heappush
 from itertools import pairwise
@@ -190,6 +191,7 @@
     """A transport in memory with those methods of a socket's transport that the connections use."""
 
     dataBuffer, _tempDataBuffer = b"", ()  # noqa: N815
+    writing = False  # the reactor calls the producer once the system takes data
 
     def setTcpNoDelay(self, on: bool) -> None:  # noqa: N802
         """Does nothing here."""
@@ -198,6 +200,9 @@
         """Does nothing if no producer is registered, like a socket's transport."""
         self.producer = None
 
+    def startWriting(self) -> None:  # noqa: N802
+        self.writing = True
+
     def loseWriteConnection(self) -> None:  # noqa: N802
         self.disconnecting = True
 
@@ -207,7 +212,9 @@
 CONNECT_TIMEOUT, SETUP_TIMEOUT, SEND_DEADLINE = 150 * MS, 2 * SECOND, 100 * MS
 
 
-def start_setup(send_deadline: int | None = None) -> tuple[MemoryReactorClock, list[Outcome]]:
+def start_setup(
+    send_deadline: int | None = None, may_send: Callable[..., bool] = lambda *_: True
+) -> tuple[MemoryReactorClock, list[Outcome]]:
     """Starts a setup whose connect is in progress, and returns the list of its outcomes."""
     reactor, outcomes = MemoryReactorClock(), []
 
@@ -219,7 +226,7 @@
         reactor, now, timers, BufferPool(BUFFER_SIZE, 4), SlotTable(4), RateLimitedLog(timers), Invariants()
     )
     observer = SimpleNamespace(
-        may_send=lambda *_: True,
+        may_send=may_send,
         client_time_left=lambda _: 2 * SECOND,
         client_has_left=lambda _: False,
         setup_over=lambda *args: outcomes.append(args[2]),
@@ -308,6 +315,32 @@
     assert outcomes == [Outcome.NOT_SENT] and transport.disconnected
 
 
+@mark.parametrize(
+    ("takes", "sent", "outcomes_expected"), [(0, b"", [Outcome.NOT_SENT]), (3, b"OPEN\r\n", [])]
+)
+def test_a_line_of_which_the_system_took_nothing_is_not_sent_once_it_may_not_be(
+    takes: int, sent: bytes, outcomes_expected: list[Outcome]
+) -> None:
+    """Guards against writing to a backend that began to drain while the system's calls failed.
+
+    A send counts from its first byte, so a line that was begun is finished.
+    """
+    answers = [True, False]
+    reactor, outcomes = start_setup(may_send=lambda *_: answers.pop(0) if len(answers) > 1 else answers[0])
+    _, transport = establish(reactor, takes)
+    transport.producer.resumeProducing()  # the system can take data again
+    assert transport.value() == sent and outcomes == outcomes_expected
+
+
+def test_a_line_of_which_the_system_took_nothing_is_sent_once_it_takes_data_again() -> None:
+    reactor, outcomes = start_setup()
+    _, transport = establish(reactor, takes=0)
+    assert transport.writing
+    transport.socket.send = lambda data: transport.write(data) or len(data)
+    transport.producer.resumeProducing()
+    assert transport.value() == b"OPEN\r\n" and transport.producer is None and not outcomes
+
+
 @mark.parametrize("takes", [99, 3], ids=["whole", "in parts"])
 def test_a_line_written_before_the_send_deadline_keeps_its_whole_time(takes: int) -> None:
     reactor, outcomes = start_setup(SEND_DEADLINE)
