A backend taken offline before discovery's first answer gets nothing once it is named

Callers saw: operators take a backend offline at a relay that has just started with a list that lacks it. The relay says 404, and sends clients there as soon as discovery has named it: 20 of 20 in the test.

Evidence: the test: an old list, discovery held back, two calls for the backend, then its first answer.

Why this works: the call is kept by name until discovery's first answer and holds if that names the backend, which reaches the policy as draining from its first list on; if not it is dropped. The answer stays 404, as an unknown id is owed a no.

--- a/cedarledge/net/backend_registry.py
+++ b/cedarledge/net/backend_registry.py
@@ -44,6 +44,8 @@
         # Discovery has sent the list, or has answered that the one from this relay's start is current.
         self.has_discovery_list = False
         self.banned: dict[int, int] = {}  # by operators, and since when
+        # Banned backends that no list has named, kept until discovery's first answer, which may name them.
+        self.unlisted_bans: set[int] = set()
         self.readmitted: dict[int, int] = {}  # backends whose ban was lifted, and when
         self.start_times = StartTimes(policy_host.clock)
 
@@ -94,7 +96,14 @@
     def discovery_answered(self, is_current: bool) -> None:
         """Notes an answer of discovery, after which the list here is its current one or is not."""
         self.start_times.mark_list_current()
-        self.has_discovery_list = self.has_discovery_list or is_current
+        if is_current and not self.has_discovery_list:
+            self.has_discovery_list = True
+            self._drop_bans_of_unknown_backends()
+
+    def _drop_bans_of_unknown_backends(self) -> None:
+        for backend_id in self.unlisted_bans - self.addresses.keys():
+            del self.banned[backend_id]
+        self.unlisted_bans.clear()
 
     def apply_list(self, form: ListForm, members: list[dict[str, Any]]) -> None:
         """Applies a list from any source; raises as `update` does."""
@@ -133,7 +142,25 @@
     def find(self, name: str) -> int | None:
         """Returns the number of a backend that a list has ever named, as a ban may outlast its entry."""
         backend_id = self.backend_ids.get(name)
-        return backend_id if backend_id in self.addresses or backend_id in self.banned else None
+        is_banned = backend_id in self.banned and backend_id not in self.unlisted_bans
+        return backend_id if backend_id in self.addresses or is_banned else None
+
+    def ban_unlisted(self, name: str, now: int) -> None:
+        """Bans a backend that no list has named yet, until discovery's first answer does not name it.
+
+        Afterwards it does nothing: discovery knows no such backend.
+        """
+        if not self.has_discovery_list:
+            backend_id = self.backend_ids[name]
+            self.unlisted_bans.add(backend_id)
+            self.banned.setdefault(backend_id, now)
+
+    def unban_unlisted(self, name: str) -> None:
+        """Lifts a ban by `ban_unlisted`, if there is one."""
+        backend_id = self.backend_ids.get(name)
+        if backend_id in self.unlisted_bans:
+            self.unlisted_bans.remove(backend_id)
+            del self.banned[backend_id]
 
     def ban(self, backend_id: int, now: int) -> None:
         """Sends nothing new to a backend until `unban`, whatever any list says; repeated calls do nothing."""
--- a/cedarledge/net/service.py
+++ b/cedarledge/net/service.py
@@ -94,7 +94,13 @@
             self.policy_host.call(self.policy_host.balancer.drain_cancelled)
 
     def take_backend_offline(self, name: str) -> None:
-        """Sends nothing new to a backend until it is brought online; raises UnknownBackendError."""
+        """Sends nothing new to a backend until it is brought online; raises UnknownBackendError.
+
+        If discovery has not answered yet, its first answer may name the unknown backend, which then stays
+        offline.
+        """
+        if self.registry.find(name) is None:
+            self.registry.ban_unlisted(name, self.timers.now())
         backend_id = self._backend_id_of(name)
         # The list changes first, so that a request that waits for a probe of this backend goes to another
         # one.
@@ -103,6 +109,7 @@
 
     def bring_backend_online(self, name: str) -> None:
         """Lets a backend that was taken offline be chosen again; raises UnknownBackendError."""
+        self.registry.unban_unlisted(name)
         self.registry.unban(self._backend_id_of(name), self.timers.now())
 
     def _backend_id_of(self, name: str) -> int:
--- a/tests/test_adopted_connections.py
+++ b/tests/test_adopted_connections.py
@@ -50,7 +50,7 @@
 
 
 def start_with_old_list(
-    tmp_path: Path, backends: list[Backend], known: list[Backend], discovery: Discovery
+    tmp_path: Path, backends: list[Backend], known: list[Backend], discovery: Discovery, **other: object
 ) -> RelayProgram:
     """Returns a relay whose first list has only the backends `known`; discovery's list has all of them."""
     discovery.changes = [backend.entry() for backend in backends if backend not in known]
@@ -60,6 +60,7 @@
         discovery=discovery.address,
         known={"revision": 6, "complete": True, "members": [backend.entry() for backend in known]},
         settings=SETTINGS | {"safety": SETTINGS["safety"] | {"ask_every": LIST_INTERVAL_US}},
+        **other,
     )
 
 
--- a/tests/test_bans.py
+++ b/tests/test_bans.py
@@ -7,14 +7,16 @@
 from types import SimpleNamespace
 
 import hypothesis.strategies as st
-from helpers import MS, SECOND, START, Backend, RuleCheckingHost, make_settings, wait_until
+from helpers import MS, SECOND, START, Backend, RelayProgram, RuleCheckingHost, make_settings, wait_until
 from hypothesis import given, settings
-from test_control import call, running
+from test_adopted_connections import LateDiscovery, start_with_old_list
+from test_control import call, free_address, running
 
 from cedarledge.net.backend_registry import BackendRegistry
 from cedarledge.terms import BackendState, ExternalView, Outcome
 
 NAMES = "abcd"
+REQUESTS = 20
 
 
 class RegistryHarness:
@@ -236,3 +238,46 @@
             for name in ("x", "", "a%20b", "a%20b%2Fc")
         ]
         assert answers == [404, 404, 404, 200]
+
+
+def open_until_served(relay: RelayProgram, backend: Backend) -> None:
+    """Opens connections, which stay open and so fill the other backends, until one is at this backend."""
+    clients = []
+
+    def is_served() -> bool:
+        clients.append(relay.client())
+        assert clients[-1].open(str(len(clients))) == "UP r"
+        return bool(backend.open_lines)
+
+    wait_until(is_served)
+
+
+def test_a_backend_taken_offline_before_discovery_has_told_of_it_gets_nothing(tmp_path: Path) -> None:
+    """Guards against forgetting a call because the relay's old list lacks its backend."""
+    backends = [Backend("early"), Backend("late")]
+    discovery = LateDiscovery([backend.entry() for backend in backends], "slow")
+    control = free_address()
+    with start_with_old_list(tmp_path, backends, backends[:1], discovery, control=control) as relay:
+        answers = [call(control, "POST", "/control/backends/late/offline") for _ in range(2)]
+        assert answers == [404] * 2, "a name that no list has had is unknown"
+        discovery.released.set()
+        wait_until(lambda: len(discovery.calls) > 1)
+        assert [relay.client().open(str(number)) for number in range(REQUESTS)] == ["UP r"] * REQUESTS
+        assert not backends[1].open_lines and len(backends[0].open_lines) == REQUESTS
+        assert call(control, "POST", "/control/backends/late/online") == 200
+        open_until_served(relay, backends[1])
+
+
+def test_a_call_for_a_backend_that_discovery_does_not_know_is_forgotten_at_its_first_answer(
+    tmp_path: Path,
+) -> None:
+    """Guards against keeping a backend out that joins later, by a call that was answered with no."""
+    backends = [Backend("early"), Backend("late")]
+    discovery = LateDiscovery([backends[0].entry()], "slow")
+    control = free_address()
+    with start_with_old_list(tmp_path, backends[:1], backends[:1], discovery, control=control) as relay:
+        assert call(control, "POST", "/control/backends/late/offline") == 404
+        discovery.released.set()
+        wait_until(lambda: len(discovery.calls) > 1)
+        discovery.publish(backends[1].entry())
+        open_until_served(relay, backends[1])
