Connections from before the run have a module of their own

The last are now net/adoptions.py: when one is attempted, waits for discovery's list, is attempted again or given up. Whether a new request has come is its state.

--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -348,7 +348,7 @@
         )
         self.watch.resume_from(state.revision)
         self.tunnels.predecessor_ids = frozenset(state.ids)
-        self.tunnels.saw_new_request = True
+        self.tunnels.adoptions.new_request_arrived()
         self.connections.reserved = state.held
         if state.away:
             self.service.leave_service()
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from cedarledge.net.adoptions import Adoptions
 from cedarledge.net.backend_registry import BackendRegistry
 from cedarledge.net.backends import BackendConnector, SetupConnection
 from cedarledge.net.clients import OpenRequest
@@ -25,12 +26,6 @@
 MAX_TIMEOUT_FACTOR = 2
 # Time that an answer takes to the client, which is part of the client's timeout.
 ANSWER_DELIVERY_TIME = 5 * MS
-# Connections that were open before the run must be open again within 40 s of its start. For one of them: time
-# for all attempts, time to connect, and delay before the next attempt.
-ADOPT_TIMEOUT, ADOPT_CONNECT_TIMEOUT, ADOPT_RETRY_DELAY = 38 * SECOND, 4 * SECOND, 250 * MS
-# How long a request of this kind that follows new requests, and so is not genuine, waits for discovery to
-# list its backend.
-LATE_ADOPT_LIST_TIMEOUT = 2 * SECOND
 # Time constant of the decaying count of clients that came from other relays.
 RETURNED_CLIENTS_LIFETIME = 4 * SECOND
 # Names of the counters in the log.
@@ -126,8 +121,8 @@
         self.tenants = tenants
         self.client_timeouts = client_timeouts
         self.connect_timeout = connect_timeout
+        self.adoptions = Adoptions(context, self.table, registry, policy_host, self)
         self._counts: Counter[str] = Counter()
-        self.saw_new_request = False  # a request arrived whose connection was not open before the run
         # Clients that came here after losing a connection, minus those that lost theirs here. High while
         # another relay is down; near zero while a backend is down, as about as many come as leave.
         self.net_returned_clients = DecayingSum(RETURNED_CLIENTS_LIFETIME)
@@ -153,14 +148,15 @@
         ):
             self._report_not_sent(tunnel_id, backend_id)
             return
-        self._begin_attempt(tunnel_id, backend_id, timeout, self.connect_timeout)
+        self.begin_attempt(tunnel_id, backend_id, timeout, self.connect_timeout)
         self.observers.notify("set_up", tunnel_id, backend_id, timeout)
 
     def _report_not_sent(self, tunnel_id: int, backend_id: int) -> None:
         """Reports an attempt as not sent, after the balancer's current call has returned."""
         self.timers.after(0, self.setup_over, tunnel_id, backend_id, Outcome.NOT_SENT, 0, None, False)
 
-    def _begin_attempt(self, tunnel_id: int, backend_id: int, timeout: int, connect_timeout: int) -> None:
+    def begin_attempt(self, tunnel_id: int, backend_id: int, timeout: int, connect_timeout: int) -> None:
+        """Begins an attempt that is allowed; without a free slot it is reported as not sent."""
         tunnel = self.table.get(tunnel_id)
         self.guard.record_attempt(tunnel.request, backend_id)
         try:
@@ -243,10 +239,10 @@
         self._counts["taken"] += 1
         self.observers.notify("arrived", tunnel_id, profile, open_request.returning)
         if open_request.previous_backend is not None:
-            tunnel.precedes_new_requests = not self.saw_new_request
-            self._adopt(tunnel_id)
+            self.adoptions.start(tunnel_id)
             return tunnel_id
-        tunnel.known_to_policy = self.saw_new_request = True
+        tunnel.known_to_policy = True
+        self.adoptions.new_request_arrived()
         if open_request.returning:
             self.net_returned_clients.add(self.clock(), 1)
         if not self.policy_host.call(
@@ -297,41 +293,6 @@
                 )
         self._release(tunnel_id)
 
-    # -- connections that were open before this relay started --------------------------------------
-
-    def _adopt(self, tunnel_id: int) -> None:
-        """Opens a connection again at the backend that held it, and at no other."""
-        tunnel = self.table.get(tunnel_id)
-        if tunnel is None or tunnel.closed:
-            return
-        age = self.clock() - tunnel.began
-        backend_id = self.registry.backend_ids.get(tunnel.open_request.previous_backend)
-        if age >= ADOPT_TIMEOUT:
-            self._give_up_adoption(tunnel_id, "its time is over")
-        elif backend_id in self.registry.banned:
-            self._give_up_adoption(tunnel_id, "operators have taken its backend offline")
-        elif backend_id in self.registry.addresses:
-            self._begin_attempt(tunnel_id, backend_id, ADOPT_TIMEOUT - age, ADOPT_CONNECT_TIMEOUT)
-        elif self.registry.has_discovery_list:
-            self._give_up_adoption(tunnel_id, "discovery does not list its backend")
-        elif age > LATE_ADOPT_LIST_TIMEOUT and not tunnel.precedes_new_requests:
-            self._give_up_adoption(tunnel_id, "discovery has not answered, and new requests came before it")
-        else:
-            # The backend may be newer than the list that this relay was started with, which only discovery's
-            # answer can tell.
-            if age < ADOPT_RETRY_DELAY:
-                # Relays that start together spread their first call of the discovery service; this
-                # connection can't wait for it.
-                self.policy_host.request_list()
-            self.timers.after(ADOPT_RETRY_DELAY, self._adopt, tunnel_id)
-
-    def _give_up_adoption(self, tunnel_id: int, reason: str) -> None:
-        open_request = self.table.get(tunnel_id).open_request
-        self.context.rate_limited_log.warn(
-            "adoption", f"{open_request.id} is not opened again at {open_request.previous_backend}: {reason}"
-        )
-        self.close_with_error(tunnel_id)
-
     # -- events of attempts ------------------------------------------------------------------------
 
     def may_send(self, tunnel_id: int, backend_id: int) -> bool:
@@ -454,15 +415,7 @@
             else:
                 tunnel.client.finish()
         if not tunnel.known_to_policy:
-            # The run begins once all connections that were open before are open again. One that comes after a
-            # new request is not genuine, and must not occupy a slot and load a backend for as long.
-            if (
-                outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
-                and tunnel.precedes_new_requests
-            ):
-                self.timers.after(ADOPT_RETRY_DELAY, self._adopt, tunnel_id)
-            else:
-                self.close_with_error(tunnel_id)
+            self.adoptions.attempt_failed(tunnel_id, outcome)
             return
         if not self.policy_host.call(
             self.policy_host.balancer.attempt_ended, tunnel_id, backend_id, was_open, outcome, took, report
