Bans of unlisted backends survive a hand-over that replaces the bans

A hand-over sets the whole table of bans, so a ban by name that is dropped at discovery's first answer may have left it already. No call reaches a relay between the two today.

--- a/cedarledge/net/backend_registry.py
+++ b/cedarledge/net/backend_registry.py
@@ -102,7 +102,7 @@
 
     def _drop_bans_of_unknown_backends(self) -> None:
         for backend_id in self.unlisted_bans - self.addresses.keys():
-            del self.banned[backend_id]
+            self.banned.pop(backend_id, None)
         self.unlisted_bans.clear()
 
     def apply_list(self, form: ListForm, members: list[dict[str, Any]]) -> None:
@@ -160,7 +160,7 @@
         backend_id = self.backend_ids.get(name)
         if backend_id in self.unlisted_bans:
             self.unlisted_bans.remove(backend_id)
-            del self.banned[backend_id]
+            self.banned.pop(backend_id, None)
 
     def ban(self, backend_id: int, now: int) -> None:
         """Sends nothing new to a backend until `unban`, whatever any list says; repeated calls do nothing."""
