The client is looked at once more after its line is built, right before the write

Cause: moved the look at the client's end before the building of the line. A relay that is paused in between would have written the request of a client that had left.

Why this works: the line is built first, and all checks (time, drain, ban, window, group, client) follow, with nothing between them and the call. So the window and drains are looked at later than before, too.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -225,22 +225,23 @@
         """Writes the first line, and notes when the system has taken all of it."""
         if self.writing:
             self._line_written()
-        elif not self._may_write():
+            return
+        line = self.line_for_backend(self.expires_at - self.context.clock()) + END
+        # Checked right before the write: this process may be paused while it builds the line.
+        if not self._may_write():
             # The backend may have started to drain meanwhile: a request counts as sent when it is written.
             self._give_up_unsent()
         elif self.backends.observer.client_has_left(self.tunnel_id):
-            # Checked right before the write, as the client may leave while this process is paused. The
-            # client's end is read in this turn of the reactor or the next, which cancels this setup.
+            # The client's end is read in this turn of the reactor or the next, which cancels this setup.
             self.transport.unregisterProducer()
         else:
-            self._write_line()
+            self._write_line(line)
 
     def _may_write(self) -> bool:
         has_time = self.context.clock() < self.expires_at
         return has_time and self.backends.observer.may_send(self.tunnel_id, self.backend_id)
 
-    def _write_line(self) -> None:
-        line = self.line_for_backend(self.expires_at - self.context.clock()) + END
+    def _write_line(self, line: bytes) -> None:
         taken = self.send_now(line)
         if taken is None:
             return  # the connection is broken; the reactor will notice
