Review case 6: a relay whose probes fill its slots never accepts a client again

320 backends that are all full for 20 s, before a relay with 256 descriptors: probe connections take the slots, the listener stops, and nothing starts it again once the last client's connection is gone. The stand-ins take their ports from the system at once.

--- a/review/parts2/stand.py
+++ b/review/parts2/stand.py
@@ -161,21 +161,36 @@
         # Called before each answer; may wait, and returns a status other than 200 to fail the call.
         self.before_answer: Callable[[str, str], Awaitable[int]] | None = None
         self.told: dict[tuple[str, int], float] = {}  # by address and revision: when written
-        self.servers: list[asyncio.Server] = []
+        self.servers: dict[str, asyncio.Server] = {}
+        self.callers: dict[str, set[asyncio.StreamWriter]] = {}
 
     async def open(self, host: str = "127.0.0.1") -> str:
         """Listens on a free port and returns the address."""
-        port = free_port(host)
-        address = f"{host}:{port}"
+        address = ""
 
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.callers[address].add(writer)
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 await self._serve(address, reader, writer)
+            self.callers[address].discard(writer)
             writer.close()
 
-        self.servers.append(await asyncio.start_server(serve, host, port))
+        server = await asyncio.start_server(serve, host, 0)
+        address = f"{host}:{server.sockets[0].getsockname()[1]}"
+        self.servers[address], self.callers[address] = server, set()
         return address
 
+    async def leave(self, address: str, after: float) -> None:
+        """Takes no new connection at an address, and closes the open ones after a time."""
+        self.servers[address].close()
+
+        async def close_open() -> None:
+            await asyncio.sleep(after)
+            for writer in list(self.callers[address]):
+                writer.close()
+
+        self.leaving = asyncio.ensure_future(close_open())
+
     def entry(self, name: str) -> dict[str, Any]:
         """Returns a member's present entry."""
         return dict(self.members[name])
@@ -254,11 +269,11 @@
     """A backend: takes requests, answers probes and echoes the lines of open connections."""
 
     def __init__(self, record: Record, name: str, host: str = "127.0.0.1") -> None:
-        """Takes a free port; `open` has to follow."""
+        """Has no port yet; `open` has to follow."""
         self.record = record
         self.name = name
         self.host = host
-        self.port = free_port(host)
+        self.port = 0
         self.runs: list[Run] = []
         self.probes: list[float] = []
         self.load = 0.2
@@ -288,8 +303,9 @@
         }
 
     async def open(self) -> None:
-        """Listens."""
+        """Listens, on a free port or on the one that it had before."""
         self.server = await asyncio.start_server(self._serve, self.host, self.port)
+        self.port = self.server.sockets[0].getsockname()[1]
 
     def kill(self) -> None:
         """Stops listening and resets every connection, as a process that dies does."""
@@ -408,12 +424,12 @@
         try:
             line = await asyncio.wait_for(self.reader.readuntil(b"\r\n"), limit)
             self.answer = line[:-2].decode("latin-1")
+        except TimeoutError:
+            self.record.note(f"{self.label}: {self.id} has no answer after {limit:.2f} s")
         except (asyncio.IncompleteReadError, OSError) as why:
             self.answer = ""
             self.closed_at = self.record.now()
             self.record.note(f"{self.label}: {self.id} closed without an answer: {why!r}")
-        except TimeoutError:
-            self.record.note(f"{self.label}: {self.id} has no answer after {limit:.2f} s")
         self.answered_at = self.record.now()
         if self.answer:
             self.record.note(f"{self.label}: {self.id} is answered {self.answer}")
