--- a/review/parts2/stand.py
+++ b/review/parts2/stand.py
@@ -509,6 +509,7 @@
         }
         if control is not None:
             environ["BALANCER_CONTROL"] = control
+        environ.pop("PYTHONPATH", None)  # it is for the stand-ins alone
         command, passed = ["/bin/sh", "-c", run], ()
         if listen is not None:
             environ["BALANCER_LISTEN_FD"] = str(LISTEN_FD)
@@ -628,6 +629,10 @@
         self.relays.append(relay)
         return relay
 
+    async def call(self, address: str, path: str) -> int:
+        """Makes an operator's call and returns its status; 0 if there was no answer in time."""
+        return await call(self.record, address, path)
+
     def spawn(self, work: Awaitable[Any]) -> asyncio.Task:
         """Runs something beside the case."""
         task = asyncio.ensure_future(work)
