--- a/review/7/case.py
+++ b/review/7/case.py
@@ -108,8 +108,8 @@
         ran = sorted(runs.get(pair.usual.id, []), key=lambda run: run.at)
         if not (pair.bad.answer and pair.bad.answer.startswith("UP")) or len(ran) < 2:
             continue
-        first, second = ran[:2]
-        if first.ended_at is None or first.ended_at > second.at:
+        first, second = ran[0], next((run for run in ran[1:] if run.answer.startswith("UP")), None)
+        if second is not None and (first.ended_at is None or first.ended_at > second.at):
             case.record.break_rule(
                 f"{pair.bad.label}: id {pair.usual.id} was served twice at once: {first.backend} has it from"
                 f" {first.at:.3f} to {first.ended_at}, {second.backend} got it at {second.at:.3f}"
--- a/review/parts2/stand.py
+++ b/review/parts2/stand.py
@@ -264,6 +264,11 @@
         self.answer = ""
         self.ended_at: float | None = None
 
+    @property
+    def is_open(self) -> bool:
+        """Whether it was answered UP and its connection stands."""
+        return self.answer.startswith("UP") and self.ended_at is None
+
 
 class Backend:
     """A backend: takes requests, answers probes and echoes the lines of open connections."""
@@ -331,10 +336,13 @@
                     writer.write(("PONG" + (report if line == "STATS" else "") + "\r\n").encode())
                 elif line.startswith("OPEN "):
                     run = Run(self.name, line.split(" ")[1], self.record.now())
+                    is_open_here = any(one.request == run.request and one.is_open for one in self.runs)
                     self.runs.append(run)
                     self.record.note(f"{self.name}: got {line}")
                     answer: str | None = f"UP {self.name}.{run.request}"
-                    if self.draining:
+                    if is_open_here:
+                        answer = "ERR"  # of no use to it: it could not tell the two apart
+                    elif self.draining:
                         answer = "BUSY"
                     elif self.decide is not None:
                         answer = await self.decide(run)
