--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,107 +1,121 @@
-"""A fleet of 320 backends that are all full for a while, before a relay with 256 descriptors."""
+"""Clients that write slowly, others that send the id of an open request, and one upgrade of the relay."""
 
 import asyncio
 import contextlib
-import os
-import random
+import signal
 from pathlib import Path
 
-from stand import Backend, Case, Client, Discovery, Run, config, main, ping, profile, settings
+from stand import (
+    Case,
+    Client,
+    Discovery,
+    config,
+    free_port,
+    listening_socket,
+    main,
+    profile,
+    settings,
+    wait_yes,
+)
 
 HERE = Path(__file__).resolve().parent
-BACKENDS, CELL = 320, 8  # sixteen times 20; backends in a cell
-DESCRIPTORS = 256
-RATE, TRIES = 2.0, 3  # new clients a second, and tries of each that is turned away
-FULL_FOR, THEN = 20.0, 20.0  # how long the backends are full, and how long clients go on coming
-MEAN_LIFE, LIFE_SIGMA = 22.0, 0.8
-TIMEOUT_MS = 1200
-PATIENCE = TIMEOUT_MS / 1000 + 0.55  # the client's own time, half a second, and the slack of sockets
+RATE, RUN_FOR = 5, 9.0  # clients a second, and for how long they come
+WRITES_FOR, PIECES = 2.0, 10  # each takes so long to write its line, in so many pieces
+COPY_AFTER = 0.1  # how long after the UP the bad client sends the same id
+UPGRADE_AT = 4.0
+
+
+class Pair:
+    """A usual client, and a bad one that sends the id of its open request."""
+
+    def __init__(self) -> None:
+        """Neither has come yet."""
+        self.usual: Client | None = None
+        self.bad: Client | None = None
+
+
+async def play_pair(case: Case, address: str, label: str, pair: Pair) -> None:
+    """Has a slow client served, and then the bad one ask with its id."""
+    usual = pair.usual = Client(case.record, address, label=f"usual-{label}", c=label, d=3000)
+    line = usual.line
+    size = len(line) // PIECES + 1
+    await usual.connect()
+    for start in range(0, len(line), size):
+        await usual.send(line[start : start + size])
+        await asyncio.sleep(WRITES_FOR / PIECES if start + size < len(line) else 0)
+    answer = await usual.await_answer()
+    if not (answer and answer.startswith("UP")):
+        return
+    case.spawn(usual.talk())
+    await asyncio.sleep(COPY_AFTER)
+    if not usual.is_open:
+        return
+    pair.bad = Client(case.record, address, request=usual.id, label=f"bad-{label}", c=label, d=3000)
+    with contextlib.suppress(OSError):
+        if await pair.bad.request(3.0):
+            await asyncio.sleep(1.0)
+    pair.bad.close()
 
 
 async def play(case: Case) -> None:
-    """Lets clients come at a steady rate while the backends are full, and afterwards."""
-    record, chance = case.record, random.Random(6)
-    boxes = await case.backends(BACKENDS)
-    members = [box.member(cell=place // CELL) for place, box in enumerate(boxes)]
+    """Starts a relay, lets clients come, and replaces the process while some are still writing."""
+    record = case.record
+    boxes = await case.backends(3)
+    members = [box.member(cell=place) for place, box in enumerate(boxes)]
     discovery = Discovery(record, members)
-    values = settings(profile("feed", timeout_ms=TIMEOUT_MS))
-    values["allowed"]["most_setups"] = 6
-    relay = case.relay("n1", config("n1", await discovery.open(), members, values, sockets=DESCRIPTORS))
-    await relay.start()
-    await relay.wait_ready()
-    is_full = False
-
-    async def decide(run: Run) -> str:
-        return "BUSY" if is_full else f"UP {run.backend}.{run.request}"
-
-    def set_full(full: bool) -> None:
-        nonlocal is_full
-        is_full = full
-        record.note(f"the backends are {'full' if full else 'no longer full'}")
-        for box in boxes:
-            box.load = 1.1 if full else 0.2
+    found_at = await discovery.open()
+    listener = listening_socket()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    values = settings(profile("feed", timeout_ms=3000), profile("bill", "side_effect", 3000))
+    controls = [f"127.0.0.1:{free_port()}" for _ in range(2)]
+    old = case.relay("n1", config("n1", found_at, members, values, listen=address))
+    await old.start("old", listener, controls[0])
+    await old.wait_ready()
+    await asyncio.sleep(1.0)
 
-    for box in boxes:
-        box.decide = decide
-    set_full(case.trouble)
-    clients: list[Client] = []
-
-    async def one(life: float) -> None:
-        key = ""
-        for number in range(TRIES):
-            client = Client(record, relay.address, d=TIMEOUT_MS, **({"r": 1} if number else {}))
-            client.key = key = key or client.key
-            clients.append(client)
-            answer = await client.request(PATIENCE)
-            if client.is_open:
-                talk = case.spawn(client.talk())
-                await asyncio.sleep(life)
-                talk.cancel()
-                return
-            client.close()
-            if not (answer and answer.startswith("BUSY")):
-                return
+    pairs: list[Pair] = []
 
     async def arrivals() -> None:
-        while True:
-            case.spawn(one(chance.lognormvariate(0, LIFE_SIGMA) * MEAN_LIFE / 1.377))
-            await asyncio.sleep(chance.expovariate(RATE))
+        for number in range(int(RATE * RUN_FOR)):
+            pairs.append(Pair())
+            case.spawn(play_pair(case, address, "bill" if number % 2 else "feed", pairs[-1]))
+            await asyncio.sleep(1 / RATE)
 
     coming = case.spawn(arrivals())
-    await asyncio.sleep(FULL_FOR)
+    await asyncio.sleep(UPGRADE_AT)
     if case.trouble:
-        set_full(False)
-    await asyncio.sleep(THEN)
-    coming.cancel()
-    host, _, port = relay.address.rpartition(":")
-    record.note(f"PING is answered {await ping(host, int(port))}")
-    await asyncio.sleep(PATIENCE + 0.5)
-    held = 0
-    with contextlib.suppress(OSError):
-        held = len(os.listdir(f"/proc/{relay.process.pid}/fd"))
-    record.note(f"the relay holds {held} descriptors of {DESCRIPTORS}")
+        new = case.relay("n1", dict(old.config))
+        await new.start("new", listener, controls[1])
+        await wait_yes(record, controls[1], 6.0)
+        old.signal(signal.SIGTERM)
+    await coming
+    await asyncio.sleep(WRITES_FOR + 4.0)
     case.check_running()
-    judge(case, clients, boxes)
+    judge(case, pairs, boxes)
 
 
-def judge(case: Case, clients: list[Client], boxes: list[Backend]) -> None:
-    """Each request that was sent whole is owed an answer; one whose connection was closed is not counted."""
-    record = case.record
-    for first, last, name in (
-        (0.0, FULL_FOR, "first part"),
-        (FULL_FOR, FULL_FOR + THEN, "second part"),
-        (FULL_FOR + THEN - 10.0, FULL_FOR + THEN, "last 10 s"),
-    ):
-        sent = [client for client in clients if first <= client.sent_at < last]
-        unanswered = [client for client in sent if client.answer is None]
-        record.note(f"{name}: {len(sent)} requests, {len(unanswered)} without an answer or a close")
-    unanswered = [client for client in clients if client.answer is None]
-    case.require(sum(len(box.probes) for box in boxes) > 0, "no backend was probed")
-    if unanswered:
-        record.break_rule(
-            f"{len(unanswered)} of {len(clients)} requests have no answer and no close after {PATIENCE} s;"
-            f" the first is {unanswered[0].id}, sent at {unanswered[0].sent_at:.3f}"
-        )
+def judge(case: Case, pairs: list[Pair], boxes: list) -> None:
+    """The bad client is owed an error or a close; it must not be served while the id is in use."""
+    runs: dict[str, list] = {}
+    for box in boxes:
+        for run in box.runs:
+            runs.setdefault(run.request, []).append(run)
+    asked = 0
+    for pair in pairs:
+        if pair.bad is None:
+            continue
+        asked += 1
+        ran = sorted(runs.get(pair.usual.id, []), key=lambda run: run.at)
+        if not (pair.bad.answer and pair.bad.answer.startswith("UP")) or len(ran) < 2:
+            continue
+        first, second = ran[0], next((run for run in ran[1:] if run.answer.startswith("UP")), None)
+        if second is not None and (first.ended_at is None or first.ended_at > second.at):
+            case.record.break_rule(
+                f"{pair.bad.label}: id {pair.usual.id} was served twice at once: {first.backend} has it from"
+                f" {first.at:.3f} to {first.ended_at}, {second.backend} got it at {second.at:.3f}"
+            )
+    case.record.note(f"{len(pairs)} usual clients, {asked} bad ones asked with an id that was open")
+    case.require(asked >= 10, "too few bad clients came to ask")
 
 
 if __name__ == "__main__":
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,59 +1,79 @@
-"""A planned restart under the same name, with the descriptors halved as on the days of the crowd."""
+"""A new configuration moves discovery, whose queue is so long that it fails the relay's first call."""
 
 import asyncio
 import signal
 from pathlib import Path
 
-from stand import Case, Client, Discovery, config, free_port, main, ping, settings
+from stand import Case, Client, Discovery, config, main, profile, settings
 
 HERE = Path(__file__).resolve().parent
-DESCRIPTORS = 256
-READY_WITHIN = 30.0
-CLIENTS = 5
+RATE = 40.0  # clients a second
+FAILS_AFTER = 2.9  # discovery fails a call that has waited so long in its queue
+TOLD_AFTER, GRACE, SLACK = 4.0, 0.25, 0.05
+# Half of the backends begin to drain, one after the other, at these times after SIGHUP.
+DRAINS_AT = (0.3, 1.0, 1.7, 2.4, 3.1, 3.8)
 
 
 async def play(case: Case) -> None:
-    """Has a relay serve, ends it by SIGTERM, and starts it again with half of its descriptors."""
+    """Lets clients come, moves discovery by SIGHUP, and has backends drain right after."""
     record = case.record
-    boxes = await case.backends(12)
+    boxes = await case.backends(2 * len(DRAINS_AT))
     members = [box.member(cell=place // 6) for place, box in enumerate(boxes)]
     discovery = Discovery(record, members)
-    found_at = await discovery.open()
-    control = f"127.0.0.1:{free_port()}"
-    first = case.relay(
-        "n1", config("n1", found_at, members, settings(), sockets=DESCRIPTORS, control=control)
-    )
-    await first.start("first")
-    await first.wait_ready()
-    await ask(case, first.address)
-    first.signal(signal.SIGTERM)
-    await asyncio.wait_for(first.process.wait(), 5.0)
-
-    halved = DESCRIPTORS // 2 if case.trouble else DESCRIPTORS
-    again = case.relay("n1", dict(first.config) | {"limits": first.config["limits"] | {"sockets": halved}})
-    record.note(f"starts again with {halved} descriptors")
-    await again.start("again")
-    host, _, port = again.address.rpartition(":")
-    until = record.now() + READY_WITHIN
-    while again.process.returncode is None and record.now() < until:
-        if await ping(host, int(port)) == "PONG":
-            record.note("relay again: ready")
-            await ask(case, again.address)
-            return
-        await asyncio.sleep(0.1)
-    code = again.process.returncode
-    state = "is still starting" if code is None else f"ended with {code}"
-    record.break_rule(f"the relay is not ready with {halved} descriptors: its process {state}")
-
-
-async def ask(case: Case, address: str) -> None:
-    """Has a few clients served, which shows that relay and stand-ins work."""
-    for _ in range(CLIENTS):
-        client = Client(case.record, address)
-        answer = await client.request()
-        case.require(bool(answer), "a client had no answer of a relay that is ready")
+    old, new = await discovery.open(), await discovery.open()
+    values = settings(profile("feed", timeout_ms=1200), group_size=4)
+    relay = case.relay("n1", config("n1", old, members, values))
+    queued = 0
+
+    async def before_answer(address: str, _target: str) -> int:
+        nonlocal queued
+        if address != new or not case.trouble or queued:
+            return 200
+        queued += 1
+        await asyncio.sleep(FAILS_AFTER)
+        return 503
+
+    discovery.before_answer = before_answer
+    await relay.start()
+    await relay.wait_ready()
+
+    async def one() -> None:
+        client = Client(record, relay.address, d=1200)
+        if await client.request():
+            await asyncio.sleep(0.5)
         client.close()
 
+    async def arrivals() -> None:
+        while True:
+            case.spawn(one())
+            await asyncio.sleep(1 / RATE)
+
+    coming = case.spawn(arrivals())
+    await asyncio.sleep(4.0)
+    relay.write_config(discovery=new)
+    moved_at = record.now()
+    relay.signal(signal.SIGHUP)
+    await discovery.leave(old, after=1.5)
+    drained = boxes[::2]
+    for box, at in zip(drained, DRAINS_AT, strict=True):
+        await asyncio.sleep(moved_at + at - record.now())
+        box.draining = True
+        discovery.change(box.name, phase="draining")
+    await asyncio.sleep(moved_at + TOLD_AFTER + 5.0 - record.now())
+    coming.cancel()
+    case.check_running()
+    told_at = moved_at + TOLD_AFTER
+    before = [run for box in drained for run in box.runs if run.at < moved_at]
+    late = [run for box in drained for run in box.runs if run.at > told_at + GRACE + SLACK]
+    record.note(f"SIGHUP at {moved_at:.3f}, told at {told_at:.3f} at the latest, {len(late)} sends too late")
+    case.require(bool(before), "nothing was sent to these backends before")
+    if late:
+        last = max(late, key=lambda run: run.at)
+        record.break_rule(
+            f"{len(late)} requests were sent to backends that drain, over {GRACE + SLACK} s after the relay"
+            f" counts as told; the last to {last.backend} {last.at - told_at:.3f} s after"
+        )
+
 
 if __name__ == "__main__":
     main(str(HERE), play)
