--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,10 +19,12 @@
 )
 
 HERE = Path(__file__).resolve().parent
-RATE, RUN_FOR = 5, 9.0  # clients a second, and for how long they come
-WRITES_FOR, PIECES = 2.0, 10  # each takes so long to write its line, in so many pieces
+RATE, RUN_FOR = 10, 9.0  # clients a second, and for how long they come
+WRITES_FOR, PIECES = 2.0, 10  # some take so long to write their line, in so many pieces
+SLOW_EACH = 3  # one in so many of the usual clients writes slowly
 COPY_AFTER = 0.1  # how long after the UP the bad client sends the same id
 UPGRADE_AT = 4.0
+SLACK = 0.05  # the id has to be open so much longer than the bad request took to arrive
 
 
 class Pair:
@@ -34,15 +36,15 @@
         self.bad: Client | None = None
 
 
-async def play_pair(case: Case, address: str, label: str, pair: Pair) -> None:
-    """Has a slow client served, and then the bad one ask with its id."""
+async def play_pair(case: Case, address: str, label: str, pieces: int, pair: Pair) -> None:
+    """Has a usual client served, and then the bad one ask with its id."""
     usual = pair.usual = Client(case.record, address, label=f"usual-{label}", c=label, d=3000)
     line = usual.line
-    size = len(line) // PIECES + 1
+    size = len(line) // pieces + 1
     await usual.connect()
     for start in range(0, len(line), size):
         await usual.send(line[start : start + size])
-        await asyncio.sleep(WRITES_FOR / PIECES if start + size < len(line) else 0)
+        await asyncio.sleep(WRITES_FOR / pieces if start + size < len(line) else 0)
     answer = await usual.await_answer()
     if not (answer and answer.startswith("UP")):
         return
@@ -78,7 +80,8 @@
     async def arrivals() -> None:
         for number in range(int(RATE * RUN_FOR)):
             pairs.append(Pair())
-            case.spawn(play_pair(case, address, "bill" if number % 2 else "feed", pairs[-1]))
+            pieces = 1 if number % SLOW_EACH else PIECES
+            case.spawn(play_pair(case, address, "bill" if number % 2 else "feed", pieces, pairs[-1]))
             await asyncio.sleep(1 / RATE)
 
     coming = case.spawn(arrivals())
@@ -106,10 +109,11 @@
             continue
         asked += 1
         ran = sorted(runs.get(pair.usual.id, []), key=lambda run: run.at)
-        if not (pair.bad.answer and pair.bad.answer.startswith("UP")) or len(ran) < 2:
+        served = [run for run in ran if run.answer.startswith("UP")]
+        if not (pair.bad.answer and pair.bad.answer.startswith("UP")) or len(served) < 2:
             continue
-        first, second = ran[0], next((run for run in ran[1:] if run.answer.startswith("UP")), None)
-        if second is not None and (first.ended_at is None or first.ended_at > second.at):
+        first, second = served[:2]
+        if first.ended_at is None or first.ended_at > second.at + SLACK:
             case.record.break_rule(
                 f"{pair.bad.label}: id {pair.usual.id} was served twice at once: {first.backend} has it from"
                 f" {first.at:.3f} to {first.ended_at}, {second.backend} got it at {second.at:.3f}"
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 from pathlib import Path
 
 from stand import Case, Client, Discovery, config, free_port, main, ping, settings
@@ -42,10 +43,24 @@
             return
         await asyncio.sleep(0.1)
     code = again.process.returncode
+    for address in (again.address, control) if code is not None else ():
+        case.require(can_listen(address), f"{address} is taken by another process")
     state = "is still starting" if code is None else f"ended with {code}"
     record.break_rule(f"the relay is not ready with {halved} descriptors: its process {state}")
 
 
+def can_listen(address: str) -> bool:
+    """Whether an address is free, so that it was not a taken one that kept the relay from its start."""
+    host, _, port = address.rpartition(":")
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind((host, int(port)))
+        except OSError:
+            return False
+        return True
+
+
 async def ask(case: Case, address: str) -> None:
     """Has a few clients served, which shows that relay and stand-ins work."""
     for _ in range(CLIENTS):
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -11,7 +11,7 @@
 FAILS_AFTER = 2.9  # discovery fails a call that has waited so long in its queue
 TOLD_AFTER, GRACE, SLACK = 4.0, 0.25, 0.05
 # Half of the backends begin to drain, one after the other, at these times after SIGHUP.
-DRAINS_AT = (0.3, 1.0, 1.7, 2.4, 3.1, 3.8)
+DRAINS_AT = (0.2, 0.5, 0.8, 1.1, 1.4, 1.7)
 
 
 async def play(case: Case) -> None:
--- a/review/parts2/stand.py
+++ b/review/parts2/stand.py
@@ -660,10 +660,10 @@
             raise UnableError(reason)
 
     def check_running(self) -> None:
-        """Counts a process that has ended by itself as crashed."""
+        """Ends the case as unable to run if a process has ended by itself, which is not what it checks."""
         for relay in self.relays:
             if relay.process is not None and relay.process.returncode not in (None, 0, -9):
-                self.record.break_rule(f"{relay.log.stem} ended with {relay.process.returncode}")
+                raise UnableError(f"{relay.log.stem} ended with {relay.process.returncode}")
 
     async def end(self) -> None:
         """Ends every process and copies the relays' logs into the record."""
@@ -680,9 +680,15 @@
 
 
 def main(folder: str, play: Callable[[Case], Awaitable[None]], limit: float = 110.0) -> None:
-    """Plays a case and exits: 0 the rule held, 1 it was broken, 2 the case could not run."""
+    """Plays a case and exits: 0 the rule held, 1 it was broken, 2 the case could not run.
+
+    Told to end in the middle, or after a fault of its own, it could not run; its processes end in any case.
+    """
 
     async def run() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            loop.add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             case = Case(Path(folder).resolve(), Path(temporary))
             case.record.note(f"trouble: {'yes' if case.trouble else 'no'}")
@@ -690,9 +696,11 @@
             try:
                 await asyncio.wait_for(play(case), limit)
                 code = BROKEN if case.record.broken else HELD
-            except (UnableError, TimeoutError, OSError) as why:
+            except (Exception, asyncio.CancelledError) as why:
                 case.record.note(f"could not run: {why!r}")
             finally:
+                for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+                    loop.add_signal_handler(number, lambda: None)
                 await case.end()
                 case.record.note(f"exit code {code}")
             return code
