An id in use at one process of a hot restart is refused at the other, both ways

Cause: ids were told once, with the state. What the old process took later, on connections that it had accepted before, was told to nobody, and the old process never learned an id of the new one.

Why this works: one process decides, the newer one. It knows the older one's ids from the state, and the older one claims each further id there before it takes the request, and tells each that ends. Without an answer within 0.3 s or half of the client's time the client gets BUSY; nothing was sent by then.

--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -190,7 +190,7 @@
     link.connect(str(path))
     if not is_same_user(link):
         raise HandoverMessageError("the process belongs to another user")
-    link.sendall(encode_message(version=VERSION, name=name))
+    link.sendall(encode_message(version=VERSION, name=name, decides_ids=True))
     data = bytearray()
     while b"\n" not in data:
         link.settimeout(time_left())
@@ -237,6 +237,14 @@
         """Sends a message; the keywords are the keys of the JSON object."""
         self.transport.write(encode_message(**fields))
 
+    def send_claim(self, number: int, request_id: str) -> None:
+        """Asks the next process for a request id."""
+        self.send(claim=request_id, call=number)
+
+    def send_release(self, request_id: str) -> None:
+        """Tells the next process that a request id is no longer in use."""
+        self.send(released=request_id)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles all complete lines; closes the connection on a malformed or too long message."""
         *lines, self.incomplete_line = (self.incomplete_line + data).split(b"\n")
@@ -347,7 +355,7 @@
             self.registry.policy_host.balancer, self.registry.host_types, state.beliefs, self.timers.now()
         )
         self.watch.resume_from(state.revision)
-        self.tunnels.predecessor_ids = frozenset(state.ids)
+        self.tunnels.ids.import_from_predecessor(state.ids)
         self.tunnels.adoptions.new_request_arrived()
         self.connections.reserved = state.held
         if state.away:
@@ -372,7 +380,7 @@
         before, self.predecessor = self.predecessor, None
         self.service.taking_over = False
         self.connections.reserved = 0
-        self.tunnels.predecessor_ids = frozenset()
+        self.tunnels.ids.forget_predecessor()
         before.transport.abortConnection()
 
     def detach(self) -> None:
@@ -396,9 +404,26 @@
             peer.send(done=message.get("call"))
         elif type(message.get("done")) is int:
             self._acknowledged(message["done"])
+        elif self._is_about_ids(peer, message):
+            pass
         else:
             raise HandoverMessageError(f"unknown message with the keys {sorted(message)[:5]}")
 
+    def _is_about_ids(self, peer: PeerProcess, message: dict[str, Any]) -> bool:
+        """Handles a message about a request id; returns whether it was one."""
+        ids, number = self.tunnels.ids, message.get("call")
+        if peer is self.predecessor and type(message.get("claim")) is str and type(number) is int:
+            ids.claimed_by_predecessor(
+                message["claim"], lambda granted: peer.send(call=number, granted=granted)
+            )
+        elif peer is self.predecessor and type(message.get("released")) is str:
+            ids.released_by_predecessor(message["released"])
+        elif peer is self.successor and type(message.get("granted")) is bool and type(number) is int:
+            ids.claim_answered(number, message["granted"])
+        else:
+            return False
+        return True
+
     def _update_reserved_slots(self, held: int) -> None:
         # A listener that is paused for lack of slots has to be told when the other process frees some.
         self.connections.reserved = held
@@ -416,6 +441,7 @@
         if self.successor is not None:
             logger.warning("handover: asked again; dropping the process that asked before")
             self.successor.transport.abortConnection()
+            self.tunnels.ids.stop_sharing()
         logger.info("handover: a new process asks; this one accepts no more connections")
         self.successor = peer
         self.listener.pause_accepting()
@@ -429,7 +455,7 @@
             {names[backend_id]: since for backend_id, since in self.registry.banned.items()},
             {names[backend_id]: at for backend_id, at in self.registry.readmitted.items()},
             self.listener.out_of_service,
-            sorted(self.tunnels.ids),
+            self.tunnels.ids.all_in_use(),
             self._descriptors_held(),
             learned_state.export_state(
                 self.registry.policy_host.balancer, self.registry.host_types, self.timers.now()
@@ -438,6 +464,8 @@
             self.registry.start_times.unix_offset(shared_now),
         )
         peer.send(version=VERSION, estate=state._asdict())
+        if message.get("decides_ids") is True:  # a process of an earlier release knows no claims
+            self.tunnels.ids.share_with(peer)
 
     def _descriptors_held(self) -> int:
         return len(os.listdir("/proc/self/fd")) + self.connections.reserved
@@ -470,7 +498,7 @@
             logger.info("handover: the previous process has ended")
             self.predecessor = None
             self.service.taking_over = False
-            self.tunnels.predecessor_ids = frozenset()
+            self.tunnels.ids.forget_predecessor()
             self._update_reserved_slots(0)
         elif peer is self.successor:
             # It died, or never took over: this process accepts what waits in the kernel's queue again.
@@ -478,6 +506,7 @@
             self.timers.cancel(self._lease_timer)
             self.successor = None
             self.service.replaced = False
+            self.tunnels.ids.stop_sharing()
             self.listener.resume_accepting()
 
     # -- operators' calls --------------------------------------------------------------------------
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -4,6 +4,7 @@
 
 from collections import Counter
 from collections.abc import Mapping, Sequence
+from functools import partial
 
 from loguru import logger
 
@@ -18,12 +19,15 @@
 from cedarledge.net.observers import Observers
 from cedarledge.net.policy_host import RelayPolicyHost
 from cedarledge.net.request_guard import RequestGuard, RequestRecord
+from cedarledge.net.request_ids import CLAIM_TIMEOUT, ClaimResult, RequestIds
 from cedarledge.net.slots import NoFreeSlotError, SlotTable
 from cedarledge.policy.estimators import DecayingSum
 from cedarledge.terms import MS, SECOND, LoadReport, Outcome, RequestClassSettings
 
 # A request is invalid if its timeout is more than this many times the client timeout of its profile.
 MAX_TIMEOUT_FACTOR = 2
+# The part of the client's timeout that a claim of its request id may take.
+CLAIM_TIME_DIVISOR = 2
 # Time that an answer takes to the client, which is part of the client's timeout.
 ANSWER_DELIVERY_TIME = 5 * MS
 # Time constant of the decaying count of clients that came from other relays.
@@ -114,9 +118,7 @@
         self.registry = registry
         self.observers = observers
         self.table: SlotTable[Tunnel] = SlotTable(capacity)
-        self.ids: set[str] = set()  # request ids of all tunnels, as given by the clients
-        # Request ids of the tunnels that the predecessor process still holds.
-        self.predecessor_ids: frozenset[str] = frozenset()
+        self.ids = RequestIds(context.timers)  # of all tunnels, as given by the clients
         self.profiles = profiles
         self.tenants = tenants
         self.client_timeouts = client_timeouts
@@ -224,7 +226,7 @@
                 f"{open_request.profile} does not allow a timeout of {open_request.client_timeout // MS} ms"
             )
             return -1
-        if open_request.id in self.ids or open_request.id in self.predecessor_ids:
+        if self.ids.is_in_use(open_request.id):
             # Backends could not distinguish two requests of one id; the first one is served.
             client.protocol_error(f"request id {open_request.id[:40]} is in use")
             return -1
@@ -235,12 +237,34 @@
             self.context.rate_limited_log.warn("client", "no slot is left for a tunnel")
             client.reject(0)
             return -1
-        self.ids.add(open_request.id)
         self._counts["taken"] += 1
         self.observers.notify("arrived", tunnel_id, profile, open_request.returning)
+        self.ids.take(
+            open_request.id,
+            open_request.client_timeout // CLAIM_TIME_DIVISOR or CLAIM_TIMEOUT,
+            partial(self._id_claimed, tunnel_id),
+        )
+        return tunnel_id
+
+    def _id_claimed(self, tunnel_id: int, result: ClaimResult) -> None:
+        """Places a request whose id no other process has in use, or answers it."""
+        tunnel = self.table.get(tunnel_id)
+        if tunnel is None:
+            return  # its client has left
+        if result is ClaimResult.GRANTED:
+            self._place(tunnel_id, tunnel)
+        elif result is ClaimResult.IN_USE:
+            tunnel.client.protocol_error(f"request id {tunnel.open_request.id[:40]} is in use")
+        else:
+            self.context.rate_limited_log.warn("client", "the next process does not answer for a request id")
+            self.reject(tunnel_id, 0)
+
+    def _place(self, tunnel_id: int, tunnel: Tunnel) -> None:
+        """Passes a request to the policy, or to the adoptions if it was open before the run."""
+        open_request = tunnel.open_request
         if open_request.previous_backend is not None:
             self.adoptions.start(tunnel_id)
-            return tunnel_id
+            return
         tunnel.known_to_policy = True
         self.adoptions.new_request_arrived()
         if open_request.returning:
@@ -248,16 +272,15 @@
         if not self.policy_host.call(
             self.policy_host.balancer.connection_requested,
             tunnel_id,
-            profile,
-            tenant,
+            tunnel.profile,
+            tunnel.tenant,
             open_request.key,
             open_request.group,
-            max(MS, open_request.client_timeout - ANSWER_DELIVERY_TIME),
+            max(MS, self.client_time_left(tunnel_id)),
             open_request.load_hint,
             open_request.returning,
         ):
             self.fail_request(tunnel_id)
-        return tunnel_id
 
     def lines_from_client(self, tunnel_id: int, lines: list[bytes]) -> None:
         """Forwards lines to the backend and starts to wait for its response."""
@@ -501,5 +524,5 @@
         """Releases a tunnel's slot and its id; nothing else does."""
         tunnel = self.table.get(tunnel_id)
         self.observers.notify("ended", tunnel_id, self.clock() - tunnel.began)
-        self.ids.remove(tunnel.open_request.id)
         self.table.release(tunnel_id)
+        self.ids.release(tunnel.open_request.id)
