A failed call after SIGHUP or a hot restart is repeated before changes are due

Cause: the next call came 2 to 4 s after a failure, whatever had happened before. Nothing remembered that SIGHUP makes all changes due after 4 s, and a hot restart after 2 s.

Why this works: both set a due time. Until an answer has come the next call is made after a part of the time left, and past the due time ever later again; a call without an answer is made anew 0.25 s before it.

--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -43,6 +43,11 @@
 # It is shortened at random, as all relays lose discovery together; the rest of the 6 s is for a call that
 # queues at discovery.
 RETRY_WITHIN = 4 * SECOND
+# What discovery has to tell counts as received this long after a new address, and after another process of
+# this relay was taken over, whatever calls failed meanwhile.
+RECEIVED_AFTER_MOVE, RECEIVED_AFTER_TAKEOVER = 4 * SECOND, 2 * SECOND
+# A call without an answer is repeated this long before that time, which leaves time for the answer.
+REPEAT_BEFORE_DUE = 250 * MS
 # Pause after an answer that brought nothing newer. Discovery allows 200 ms between the calls of a watch.
 STALE_ANSWER_PAUSE = 150 * MS
 
@@ -277,6 +282,8 @@
         self._call: Deferred | None = None
         self._timer: Timer | None = None
         self._sent_at = self._wait = 0
+        # When all that discovery has to tell counts as received, if no answer has come since that was set.
+        self._due_at: int | None = None
         # Whether a call since the last answer has timed out, and whether one has failed.
         self._has_timed_out = self._has_failed = False
 
@@ -292,7 +299,7 @@
         """
         if address != self._address:
             self._address = address
-            self.resume_from(None)
+            self._resume(None, RECEIVED_AFTER_MOVE)
 
     @property
     def revision(self) -> int | None:
@@ -301,8 +308,14 @@
 
     def resume_from(self, revision: int | None) -> None:
         """Continues from `revision`, up to which another process followed the list; None: the whole list."""
+        self._resume(revision, RECEIVED_AFTER_TAKEOVER)
+
+    def _resume(self, revision: int | None, received_after: int) -> None:
         self.stop()
         self._revision = revision
+        due_at = self._timers.now() + received_after
+        # A second move does not put off what counts as received by the first.
+        self._due_at = due_at if self._due_at is None else min(self._due_at, due_at)
         self._has_timed_out = self._has_failed = False  # these may have been calls to another address
         self._send_call()
 
@@ -317,9 +330,13 @@
     def _send_call(self) -> None:
         self._timers.cancel(self._timer)
         self._sent_at = self._timers.now()
-        self._wait = int(self._max_wait * (1 - WAIT_SPREAD * self._random()))
+        self._wait = int(self._max_wait * self._spread())
+        if self._due_at is not None:
+            self._wait = min(self._wait, max(MIN_WAIT, (self._due_at - self._sent_at) // 2))
         if self._connection is None:
-            self._timer = self._timers.after_pending_reads(CONNECT_TIMEOUT, self._timed_out)
+            self._timer = self._timers.after_pending_reads(
+                self._ending_before_due(CONNECT_TIMEOUT), self._timed_out
+            )
             endpoint = TCP4ClientEndpoint(self._reactor, *self._address, timeout=None)
             self._call = connectProtocol(endpoint, DiscoveryConnection()).addCallback(self._connected)
         else:
@@ -330,9 +347,8 @@
         self._connection = connection
         self._timers.cancel(self._timer)
         # After a pause of this process the answer may be unread, and a drain in it counts as received.
-        self._timer = self._timers.after_pending_reads(
-            WHOLE_LIST_TIMEOUT if self._revision is None else self._wait + ANSWER_GRACE, self._timed_out
-        )
+        timeout = WHOLE_LIST_TIMEOUT if self._revision is None else self._wait + ANSWER_GRACE
+        self._timer = self._timers.after_pending_reads(self._ending_before_due(timeout), self._timed_out)
         target = (
             PATH
             if self._revision is None
@@ -340,6 +356,17 @@
         )
         return connection.get("{}:{}".format(*self._address), target)
 
+    def _spread(self) -> float:
+        return 1 - WAIT_SPREAD * self._random()
+
+    def _ending_before_due(self, timeout: int) -> int:
+        """Returns the time-out, or a shorter one after which the call can still be repeated in time, ns."""
+        if self._due_at is None:
+            return timeout
+        left = self._due_at - REPEAT_BEFORE_DUE - self._timers.now()
+        # A call that begins late is not cut short: its answer may queue at discovery.
+        return min(timeout, left) if left >= ANSWER_GRACE else timeout
+
     def _timed_out(self) -> None:
         if self._connection is not None and not self._has_timed_out:
             # A call without an answer past its time is broken, which does not mean that discovery is in
@@ -366,6 +393,8 @@
             raise HttpError(f"not a list: {error!r}") from error
         early = self._timers.now() - self._sent_at < self._wait // 2
         in_sequence = newer or not (members or early)
+        if in_sequence or whole:
+            self._due_at = None
         self._on_answer(in_sequence or whole)
         self._timers.cancel(self._timer)
         self._has_timed_out = self._has_failed = False
@@ -409,8 +438,13 @@
         A call that timed out has shown nothing since it began, so discovery may have been reachable again
         since then; that time is subtracted.
         """
-        spent = self._timers.now() - self._sent_at if timed_out else 0
-        return max(PUSHED_RETRY_DELAY, int(RETRY_WITHIN * (1 - WAIT_SPREAD * self._random())) - spent)
+        now, spread = self._timers.now(), self._spread()
+        spent = now - self._sent_at if timed_out else 0
+        delay = int(RETRY_WITHIN * spread) - spent
+        if self._due_at is not None:
+            # Ever sooner up to the due time, and ever later from then on.
+            delay = min(delay, int(abs(self._due_at - now) * spread / 2))
+        return max(PUSHED_RETRY_DELAY, delay)
 
     def _disconnect(self) -> None:
         """Closes the connection; the only place where that is done."""
