The delay before a failed call to discovery is repeated counts from its beginning

What callers would see: discovery is crowded and fails a call after 2.9 s in its queue; a backend that began to drain meanwhile is sent requests up to 0.9 s past the 6 s after which changes count as told.

Cause: the 2 to 4 s counted from the failure. Only a call that timed out had its own time subtracted, though one that queued has shown no more.

Why this works: the next call begins within 4 s of the beginning of the failed one, or of the silent one that it repeats, and 0.1 s after the failure at the soonest, which leaves 2 s for its answer.

Measured, in virtual time: test_a_call_that_fails_late_is_repeated_six_seconds_ after_it_began_at_the_latest failed in all 4 cases on the code before (calls up to 6.6 s after the first) and passes. test_terms_discovery and test_terms_start pass.

--- a/cedarledge/net/discovery.py
+++ b/cedarledge/net/discovery.py
@@ -282,6 +282,7 @@
         self._call: Deferred | None = None
         self._timer: Timer | None = None
         self._sent_at = self._wait = 0
+        self._unanswered_since = 0  # when the call began, or the silent one that it repeats
         # When all that discovery has to tell counts as received, if no answer has come since that was set.
         self._due_at: int | None = None
         # Whether a call since the last answer has timed out, and whether one has failed.
@@ -329,7 +330,7 @@
 
     def _send_call(self) -> None:
         self._timers.cancel(self._timer)
-        self._sent_at = self._timers.now()
+        self._sent_at = self._unanswered_since = self._timers.now()
         self._wait = int(self._max_wait * self._spread())
         if self._due_at is not None:
             self._wait = min(self._wait, max(MIN_WAIT, (self._due_at - self._sent_at) // 2))
@@ -375,8 +376,10 @@
             # a SIGHUP with a silent address it was repeated up to 10 s later.
             logger.warning("discovery: the watch is silent, opening a new one")
             self._has_timed_out = True
+            unanswered_since = self._unanswered_since
             self.stop()
             self._send_call()
+            self._unanswered_since = unanswered_since
         elif self._call is not None:
             self._call.cancel()
 
@@ -426,21 +429,20 @@
         reported, self._has_failed = self._pushed and self._has_failed, True
         timed_out = failure.check(CancelledError, ConnectingCancelledError) is not None
         self._timer = self._timers.after(
-            PUSHED_RETRY_DELAY if self._pushed else self._retry_delay(timed_out), self._send_call
+            PUSHED_RETRY_DELAY if self._pushed else self._retry_delay(), self._send_call
         )
         if not reported:  # otherwise it would be reported ten times a second
             logger.warning("discovery: {}", "no answer in time" if timed_out else failure.getErrorMessage())
             self._on_failure()
 
-    def _retry_delay(self, timed_out: bool) -> int:
-        """Returns the longest time until the next call, ns.
+    def _retry_delay(self) -> int:
+        """Returns the time until the next call, ns.
 
-        A call that timed out has shown nothing since it began, so discovery may have been reachable again
-        since then; that time is subtracted.
+        A call that failed has shown nothing since it began, as it may have queued at discovery. That time is
+        subtracted, with the time of a silent call that it repeats.
         """
         now, spread = self._timers.now(), self._spread()
-        spent = now - self._sent_at if timed_out else 0
-        delay = int(RETRY_WITHIN * spread) - spent
+        delay = int(RETRY_WITHIN * spread) - (now - self._unanswered_since)
         if self._due_at is not None:
             # Ever sooner up to the due time, and ever later from then on.
             delay = min(delay, int(abs(self._due_at - now) * spread / 2))
--- a/tests/test_list_due_times.py
+++ b/tests/test_list_due_times.py
@@ -172,6 +172,18 @@
         assert run.answered[0] <= due, f"seed {seed}"
 
 
+@mark.parametrize("fails_at", [0.5, 1.9, 2.9, 3.4])
+def test_a_call_that_fails_late_is_repeated_six_seconds_after_it_began_at_the_latest(fails_at: float) -> None:
+    """Guards against a delay from the failure on: a change may be as old as the call, which queued."""
+    changes = {"revision": 8, "complete": False, "members": []}
+    for seed in SEEDS:
+        run = VirtualWatch(seed, first_fails(fails_at, changes))
+        run.watch.start()
+        run.run_until(RECEIVED_AFTER_S + CALL_S)
+        assert run.first_call_after(fails_at) <= RECEIVED_AFTER_S - CALL_S + 2 * STEP_S, f"seed {seed}"
+        assert run.first_call_after(fails_at) >= fails_at + RETRY_DELAY_S, f"seed {seed}"
+
+
 def test_a_second_move_does_not_put_off_what_the_first_one_made_due() -> None:
     """Guards against new configurations in a row, each of which would start the time anew."""
     for seed in SEEDS:
