An id whose request may have run is not run again when it comes again

Cause: the id and the record of its attempts were forgotten with the connection, so the next request of that id began with an empty record.

Why this works: as a request ends the guard tells whether another one of its id could have an effect twice. BUSY and idempotent classes leave the id free.

--- a/cedarledge/net/handover.py
+++ b/cedarledge/net/handover.py
@@ -76,6 +76,8 @@
     # the monotonic clock. Releases that don't send them are assumed to have the same offsets as this process.
     clock_offset: int | None = None
     unix_offset: int | None = None
+    # Hashes of the ids of ended requests that must not run again; sent to a process that decides on ids.
+    finished_ids: list[int] | None = None
 
 
 def parse_handover_state(line: bytes) -> HandoverState:
@@ -113,6 +115,7 @@
     "beliefs": lambda value: type(value) is dict,
     "clock_offset": lambda value: value is None or _is_number(value),
     "unix_offset": lambda value: value is None or _is_number(value),
+    "finished_ids": lambda value: value is None or (type(value) is list and all(map(_is_number, value))),
 }
 
 
@@ -241,9 +244,9 @@
         """Asks the next process for a request id."""
         self.send(claim=request_id, call=number)
 
-    def send_release(self, request_id: str) -> None:
-        """Tells the next process that a request id is no longer in use."""
-        self.send(released=request_id)
+    def send_release(self, request_id: str, must_not_run_again: bool) -> None:
+        """Tells the next process that a request id is no longer in use, and whether it stays taken."""
+        self.send(released=request_id, must_not_run_again=must_not_run_again)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Handles all complete lines; closes the connection on a malformed or too long message."""
@@ -355,7 +358,7 @@
             self.registry.policy_host.balancer, self.registry.host_types, state.beliefs, self.timers.now()
         )
         self.watch.resume_from(state.revision)
-        self.tunnels.ids.import_from_predecessor(state.ids)
+        self.tunnels.ids.import_from_predecessor(state.ids, state.finished_ids or ())
         self.tunnels.adoptions.new_request_arrived()
         self.connections.reserved = state.held
         if state.away:
@@ -380,7 +383,7 @@
         before, self.predecessor = self.predecessor, None
         self.service.taking_over = False
         self.connections.reserved = 0
-        self.tunnels.ids.forget_predecessor()
+        self.tunnels.ids.import_from_predecessor((), ())
         before.transport.abortConnection()
 
     def detach(self) -> None:
@@ -417,7 +420,7 @@
                 message["claim"], lambda granted: peer.send(call=number, granted=granted)
             )
         elif peer is self.predecessor and type(message.get("released")) is str:
-            ids.released_by_predecessor(message["released"])
+            ids.released_by_predecessor(message["released"], message.get("must_not_run_again") is not False)
         elif peer is self.successor and type(message.get("granted")) is bool and type(number) is int:
             ids.claim_answered(number, message["granted"])
         else:
@@ -463,9 +466,13 @@
             self.timers.now() - shared_now,
             self.registry.start_times.unix_offset(shared_now),
         )
-        peer.send(version=VERSION, estate=state._asdict())
-        if message.get("decides_ids") is True:  # a process of an earlier release knows no claims
+        fields = state._asdict()
+        if message.get("decides_ids") is True:
+            fields["finished_ids"] = self.tunnels.ids.finished.hashes()
             self.tunnels.ids.share_with(peer)
+        else:
+            del fields["finished_ids"]  # a process of an earlier release knows neither these nor claims
+        peer.send(version=VERSION, estate=fields)
 
     def _descriptors_held(self) -> int:
         return len(os.listdir("/proc/self/fd")) + self.connections.reserved
--- a/cedarledge/net/request_guard.py
+++ b/cedarledge/net/request_guard.py
@@ -12,6 +12,8 @@
 from cedarledge.net.invariants import Invariant, Invariants
 from cedarledge.terms import MS, NEVER_RAN, Dedup, Effect, Outcome, RequestClassSettings
 
+# The final answer that tells a client that repeating its request is harmless.
+REJECTED = "BUSY"
 # The platform tolerates this much past each time limit on sockets.
 TIME_LIMIT_GRACE = 50 * MS
 # The field of a list entry whose value is the same throughout a deduplication group.
@@ -176,6 +178,15 @@
             self._violated(Invariant.REJECTED_EFFECT, request)
         return is_harmless
 
+    def must_not_run_again(self, request: RequestRecord) -> bool:
+        """Returns whether another request of the same id could have an effect twice.
+
+        Deduplicated requests count too: another one would not be placed within the group and the window.
+        """
+        if not self._classes or request.answer == REJECTED or request.first_possible_run() is None:
+            return False
+        return self._classes[request.request_class].effect is not Effect.IDEMPOTENT
+
     def record_answer(self, request: RequestRecord, word: str) -> None:
         """Records the final answer, and counts a violation if it is late or not the first."""
         now = self._clock()
--- a/cedarledge/net/tunnels.py
+++ b/cedarledge/net/tunnels.py
@@ -18,7 +18,7 @@
 from cedarledge.net.message_latency import MessageTimer, MessageTimers
 from cedarledge.net.observers import Observers
 from cedarledge.net.policy_host import RelayPolicyHost
-from cedarledge.net.request_guard import RequestGuard, RequestRecord
+from cedarledge.net.request_guard import REJECTED, RequestGuard, RequestRecord
 from cedarledge.net.request_ids import CLAIM_TIMEOUT, ClaimResult, RequestIds
 from cedarledge.net.slots import NoFreeSlotError, SlotTable
 from cedarledge.policy.estimators import DecayingSum
@@ -226,7 +226,7 @@
                 f"{open_request.profile} does not allow a timeout of {open_request.client_timeout // MS} ms"
             )
             return -1
-        if self.ids.is_in_use(open_request.id):
+        if self.ids.is_taken(open_request.id):
             # Backends could not distinguish two requests of one id; the first one is served.
             client.protocol_error(f"request id {open_request.id[:40]} is in use")
             return -1
@@ -486,7 +486,7 @@
         """
         tunnel = self.table.get(tunnel_id)
         self._counts["rejected" if rejected else "failed"] += 1
-        self.guard.record_answer(tunnel.request, "BUSY" if rejected else "ERR")
+        self.guard.record_answer(tunnel.request, REJECTED if rejected else "ERR")
         self._detach_attempt(tunnel)
         self.observers.notify("answered", tunnel_id, rejected, self.clock() - tunnel.began)
         self._release(tunnel_id)
@@ -525,4 +525,4 @@
         tunnel = self.table.get(tunnel_id)
         self.observers.notify("ended", tunnel_id, self.clock() - tunnel.began)
         self.table.release(tunnel_id)
-        self.ids.release(tunnel.open_request.id)
+        self.ids.release(tunnel.open_request.id, self.guard.must_not_run_again(tunnel.request))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -369,6 +369,7 @@
         {"beliefs": []},
         {"clock_offset": 0.5},
         {"unix_offset": "1"},
+        {"finished_ids": ["1"]},
         {"more": 1},
     ):
         with raises(HandoverMessageError):
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -130,16 +130,16 @@
 
         self.to_next.append(lambda: self.next.ids.claimed_by_predecessor(request_id, answer))
 
-    def send_release(self, request_id: str) -> None:
-        self.to_next.append(lambda: self.next.ids.released_by_predecessor(request_id))
+    def send_release(self, request_id: str, must_not_run_again: bool) -> None:
+        self.to_next.append(lambda: self.next.ids.released_by_predecessor(request_id, must_not_run_again))
 
     def hand_over_to(self, successor: Process) -> None:
         self.next = successor
-        successor.ids.import_from_predecessor(self.ids.all_in_use())
+        successor.ids.import_from_predecessor(self.ids.all_in_use(), self.ids.finished.hashes())
         self.ids.share_with(self)
 
     def request(self, request_id: str) -> None:
-        if self.ids.is_in_use(request_id):
+        if self.ids.is_taken(request_id):
             return
         request = self.pending[request_id] = object()
 
@@ -150,7 +150,7 @@
                 if result is ClaimResult.GRANTED:
                     self.held.add(request_id)
                 else:
-                    self.ids.release(request_id)
+                    self.ids.release(request_id, must_not_run_again=False)
 
         self.ids.take(request_id, CLAIM_TIMEOUT, settled)
 
@@ -159,7 +159,7 @@
             request_id = chance.choice(ids)
             self.held.discard(request_id)
             self.pending.pop(request_id, None)
-            self.ids.release(request_id)
+            self.ids.release(request_id, must_not_run_again=False)
 
 
 SEEDS, STEPS, HANDOVERS = 20, 3000, (500, 1500)
@@ -196,7 +196,7 @@
         clock.pump([0.4, 0.1, 0.1])
         for process in processes:
             for request_id in process.held:
-                process.ids.release(request_id)
+                process.ids.release(request_id, must_not_run_again=False)
             process.held.clear()
         while queues := [queue for one in processes for queue in (one.to_next, one.to_previous) if queue]:
             queues[0].popleft()()
@@ -209,20 +209,21 @@
     assert results == set(ClaimResult), "each result was seen"
 
 
-def test_ids_are_free_again_when_their_requests_or_their_process_have_ended() -> None:
-    """Guards against ids that stay refused for as long as the old process runs, or for ever."""
+def test_ids_are_free_again_when_their_requests_have_ended_and_nothing_of_them_may_have_run() -> None:
+    """Guards against ids that stay refused for as long as the old process runs."""
     clock = Clock()
     old, new = Process(clock), Process(clock)
     old.request("a")
     old.request("b")
     old.hand_over_to(new)
-    assert new.ids.is_in_use("a") and new.ids.is_in_use("b")
+    assert new.ids.is_taken("a") and new.ids.is_taken("b")
     old.held.remove("a")
-    old.ids.release("a")
+    old.ids.release("a", must_not_run_again=False)
     old.to_next.popleft()()
-    assert not new.ids.is_in_use("a")
+    assert not new.ids.is_taken("a")
     new.ids.forget_predecessor()
-    assert not new.ids.is_in_use("b") and not len(new.ids)
+    assert new.ids.is_taken("b"), "its end was not told, so its request may have run"
+    assert not len(new.ids) and not new.ids.all_in_use()
 
 
 def test_a_claim_is_granted_if_the_next_process_is_gone() -> None:
@@ -251,4 +252,4 @@
     for queue in (middle.to_next, first.to_next):
         while queue:
             queue.popleft()()
-    assert not last.ids.is_in_use("a") and not middle.ids.is_in_use("a")
+    assert not last.ids.is_taken("a") and not middle.ids.is_taken("a")
