A long request that is refused takes no call for each of its values

Cause: parse_open_request split each value by a call of its own and searched for the time-out from every byte: 0.26 to 0.33 ms a line, two fifths of the relay's busy time by a profile.

A plain parser accepts the same drawn lists.

--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from itertools import repeat
 from typing import NamedTuple
 
 from twisted.internet.interfaces import IAddress
@@ -20,6 +21,7 @@
 OPEN_LINE_TIMEOUT = 2500 * MS
 # Matches the client timeout, in ms, in the list of values of an OPEN line.
 CLIENT_TIMEOUT = re.compile(rb"(?:^|(?<=,))d=(\d{1,9})(?=,|$)")
+MAX_TIMEOUT_DIGITS = 9
 # Far more than any real id, key or group has. They are kept for as long as the tunnel exists, keys by the
 # balancer for longer; without this limit a hostile client could fill memory with lines of the maximum length.
 MAX_NAME_BYTES = 256
@@ -56,16 +58,32 @@
         return start + separator + CLIENT_TIMEOUT.sub(b"d=%d" % max(1, timeout // MS), values, count=1)
 
 
+def parse_values(text: str) -> dict[str, str]:
+    """Parses a list of values, `name=value,name=value`. Raises MalformedError.
+
+    A line holds a thousand of them, so no call is made for each: refused lines would hold up other clients.
+    """
+    parts = list(map(str.partition, text.split(","), repeat("=")))
+    values = {name: value for name, _, value in parts}
+    if len(values) < len(parts):
+        raise MalformedError("a key of the list of values is repeated")
+    if not all([separator for _, separator, _ in parts]):
+        raise MalformedError("invalid list of values")
+    return values
+
+
+def parse_timeout(digits: str) -> int:
+    """Returns a client's timeout in ns, given in whole ms; 0 if it is not a number of at most nine digits."""
+    return int(digits) * MS if digits.isdecimal() and len(digits) <= MAX_TIMEOUT_DIGITS else 0
+
+
 def parse_open_request(line: bytes) -> OpenRequest:
     """Parses an OPEN line. Raises MalformedError."""
     try:
         words = line.decode("ascii").split(" ")
         if len(words) != 4 or words[0] != "OPEN" or not words[1] or not words[2]:
             raise MalformedError("expected OPEN, an id, a key and a list of values")
-        pairs = [pair.split("=", 1) for pair in words[3].split(",")]
-        values = dict(pairs)
-        if len(values) < len(pairs):
-            raise MalformedError("a key of the list of values is repeated")
+        values = parse_values(words[3])
         if max(map(len, (*words[1:3], values.get("g", "")))) > MAX_NAME_BYTES:
             raise MalformedError(f"id, key or group is longer than {MAX_NAME_BYTES} bytes")
         hint = parse_finite(values["h"]) if "h" in values else None
@@ -74,15 +92,15 @@
                 raise MalformedError("h is negative")
             hint = min(hint, MAX_LOAD_HINT)
         previous_backend = values.get("at")
-        timeout = CLIENT_TIMEOUT.search(line.rpartition(b" ")[2])
-        if previous_backend is None and (timeout is None or not int(timeout[1])):
+        timeout = parse_timeout(values.get("d", ""))
+        if previous_backend is None and not timeout:
             raise MalformedError("d is not a positive number of ms")
         return OpenRequest(
             line,
             words[1],
             values["c"],
             words[2],
-            int(timeout[1]) * MS if timeout else 0,
+            timeout,
             values.get("g"),
             values.get("t"),
             hint,
