A test of clients that leave has ids of its own

That id may have run and is refused now, which is what is for; the protocol has an id "new with every connection". The 60 have ids of their own; all that the test checks is as it was.

--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -58,7 +58,7 @@
     with RelayProgram(tmp_path, [backend], limits=LIMITS) as relay:
         for number in range(60):
             client = relay.client()
-            client.link.sendall(f"OPEN {number:016x} k c=bill,d=1500,g=g1\r\n".encode())
+            client.link.sendall(f"OPEN leaves{number} k c=bill,d=1500,g=g1\r\n".encode())
             wait_until(lambda number=number: len(backend.open_lines) > number)
             client.close()
         wait_until(lambda: len(backend.ends) >= 60)
