Kept probe connections make room, and a paused listener accepts again whoever frees a slot

Cause: each probed backend kept a connection for 15 s, without a bound, until the clients' listener paused; only the end of a client's connection or the other process of a hand-over had it look again.

Why this works: the table of slots tells of each release, and the listener looks again. Where slots run short and no client is idle, kept probe connections end, the least recently used first; a new one takes the place of an idle one, or is answered without a report, so that attempts have slots. With slots enough nothing changes.

--- a/cedarledge/net/backends.py
+++ b/cedarledge/net/backends.py
@@ -408,6 +408,15 @@
         self.backends.forget(self)
         self.finish()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is only kept for a later probe."""
+        return self.up and not self.awaiting_answer
+
+    def _release(self) -> None:
+        super()._release()
+        self.backends.reclaimed.discard(self)
+
     def drop_peer(self) -> None:
         """Ends the connection, because of what the backend did or did not send; its probe has failed."""
         self.has_answered = False
@@ -441,8 +450,12 @@
         probe_timeout: int,
         idle_timeout: int,
         probe_word: bytes,
+        probe_free: int = 0,
     ) -> None:
-        """Times are in ns: for a probe to connect, for its answer, and until an idle connection is closed."""
+        """Times are in ns: for a probe to connect, for its answer, and until an idle connection is closed.
+
+        With no more than `probe_free` free slots a new probe connection takes the place of an idle one.
+        """
         self.context = context
         self.observer = observer
         self.on_probe_over = on_probe_over
@@ -452,7 +465,9 @@
         self.probe_timeout = probe_timeout
         self.idle_timeout = idle_timeout
         self.probe_word = probe_word
-        self.probes: dict[int, ProbeConnection] = {}
+        self.probe_free = probe_free
+        self.probes: dict[int, ProbeConnection] = {}  # the least recently used first
+        self.reclaimed: set[ProbeConnection] = set()  # aborted for others, their slots not free yet
 
     def set_up(
         self,
@@ -476,21 +491,39 @@
 
     def probe(self, backend_id: int, address: Address) -> None:
         """Probes a backend, on the connection that is kept for it unless its address has changed."""
-        connection = self.probes.get(backend_id)
+        connection = self.probes.pop(backend_id, None)
         if connection is not None and connection.address != address:
-            self.forget(connection)
             connection.abort()
             connection = None
         if connection is None:
             try:
-                connection = self.probes[backend_id] = ProbeConnection(self, backend_id, address)
+                self._make_room_for_probe()
+                connection = ProbeConnection(self, backend_id, address)
             except NoFreeSlotError:
                 # Reported later, as the policy is in the middle of its call, and as an answer without a
                 # report: the missing slot is this relay's, and must not make the backend look busy.
                 self.context.timers.after(0, self.on_probe_over, backend_id, True, LoadReport())
                 return
+        self.probes[backend_id] = connection
         connection.send_probe()
 
+    def _make_room_for_probe(self) -> None:
+        """Ends an idle probe connection if slots run short; raises NoFreeSlotError if there is none."""
+        if self.context.connections.free > self.probe_free:
+            return
+        before = len(self.reclaimed)
+        self.reclaim_slots(before + 1)
+        if len(self.reclaimed) == before:
+            raise NoFreeSlotError("the free slots are left for clients and attempts")
+
+    def reclaim_slots(self, count: int) -> None:
+        """Ends the least recently used idle probe connections until `count` slots are about to be free."""
+        idle = [connection for connection in self.probes.values() if connection.is_idle]
+        for connection in idle[: max(0, count - len(self.reclaimed))]:
+            self.forget(connection)
+            self.reclaimed.add(connection)
+            connection.abort()
+
     def abort_probe(self, backend_id: int) -> None:
         """Drops a backend's probe connection, so that a probe is not even repeated on it."""
         connection = self.probes.get(backend_id)
--- a/cedarledge/net/clients.py
+++ b/cedarledge/net/clients.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 from itertools import repeat
 from typing import NamedTuple
 
@@ -236,6 +237,10 @@
         super().__init__(context, budget.eviction_free)
         self.refusal_free = budget.refusal_free
         self.handler = handler
+        # Whoever releases a slot, this listener may accept again.
+        context.connections.on_release = self.slots_freed
+        # Asked to give back so many slots if no client is idle.
+        self.reclaim_slots: Callable[[int], None] = lambda count: None
         # Not accepting: no slot is free; another process of this relay accepts the clients.
         self.paused = self.held_back = False
         self.out_of_service = False  # PING is answered with ERR, so that no more clients are directed here
@@ -243,6 +248,9 @@
     def buildProtocol(self, addr: IAddress) -> ClientLineConnection | None:  # noqa: N802
         """Returns the protocol of an accepted connection; None closes it."""
         self.evict_idle()
+        missing = self.spare_slots + 1 - self.context.connections.free - len(self.evicted)
+        if missing > 0:
+            self.reclaim_slots(missing)
         if self.context.connections.free <= self.refusal_free:
             # Closed at once: one more open descriptor could exceed the limit at which the process is ended.
             self.context.rate_limited_log.warn("client", "no slot is left")
@@ -251,11 +259,6 @@
             return None
         return ClientLineConnection(self)
 
-    def forget(self, link: LineConnection) -> None:
-        """Handles the end of a connection, whose slot is free again."""
-        super().forget(link)
-        self.slots_freed()
-
     def slots_freed(self) -> None:
         """Resumes accepting after slots were released, here or by the predecessor process."""
         if self.paused and self.context.connections.free > self.refusal_free and self.port.connected:
--- a/cedarledge/net/descriptor_budget.py
+++ b/cedarledge/net/descriptor_budget.py
@@ -39,6 +39,9 @@
     reserved: int  # of these, what tunnels leave free besides the slots for probes
     eviction_free: int  # with no more free connections than this, an idle client is evicted for a new one
     refusal_free: int  # with no more free connections than this, no client is accepted
+    probe_free: (
+        int  # with no more free connections than this, a new probe connection takes the place of another
+    )
     probes: int  # at most so many backends have a slot for their probe connection set aside
     callers: int  # operators' connections
     spare_callers: int  # of these, how many are kept free
@@ -53,11 +56,14 @@
         return max(least, share * min(limit, FULL_SHARES_FROM) // FULL_SHARES_FROM)
 
     callers = scaled(CALLERS, MIN_CALLERS)
+    eviction_free = scaled(EVICTION_FREE_SLOTS, MIN_EVICTION_FREE_SLOTS)
+    refusal_free = scaled(REFUSAL_FREE_SLOTS, MIN_REFUSAL_FREE_SLOTS)
     return DescriptorBudget(
         connections=limit - FIXED_DESCRIPTORS - (callers + CLOSING_CALLERS if has_control else 0),
         reserved=scaled(RESERVED_SLOTS, MIN_RESERVED_SLOTS),
-        eviction_free=scaled(EVICTION_FREE_SLOTS, MIN_EVICTION_FREE_SLOTS),
-        refusal_free=scaled(REFUSAL_FREE_SLOTS, MIN_REFUSAL_FREE_SLOTS),
+        eviction_free=eviction_free,
+        refusal_free=refusal_free,
+        probe_free=(eviction_free + refusal_free) // 2,  # the rest is left for attempts
         probes=scaled(PROBE_SLOTS, 1),
         callers=callers,
         spare_callers=scaled(SPARE_CALLERS, MIN_SPARE_CALLERS),
--- a/cedarledge/net/relay.py
+++ b/cedarledge/net/relay.py
@@ -153,6 +153,7 @@
                 probe_timeout=min(setup_goals),
                 idle_timeout=int(allowed.get("conn_idle") or 15_000_000) * US,
                 probe_word=b"PING" if reports.get("how", "off") == "off" else b"STATS",
+                probe_free=self.descriptors.probe_free,
             )
             self.stop_within = min(MAX_STOP_TIME, max(client_timeouts))
             tells = (settings.get("domain") or {}).get("tells_delay")
@@ -166,7 +167,9 @@
             self.backends, MessageTimers(self.clock, self.timers, line_delays, self.tunnels.silent)
         )
         self.policy_host.connect(self.tunnels, self.backends, self.registry, self.watch)
-        self.frontend: Frontend = Listener(self.context, self.descriptors, self.tunnels)
+        listener = Listener(self.context, self.descriptors, self.tunnels)
+        listener.reclaim_slots = self.backends.reclaim_slots
+        self.frontend: Frontend = listener
         self.service = ServiceState(
             self.timers, self.policy_host, self.registry, self.tunnels, self.backends, self.frontend
         )
--- a/cedarledge/net/slots.py
+++ b/cedarledge/net/slots.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Generic, TypeVar
 
 Holder = TypeVar("Holder")
@@ -23,6 +24,7 @@
         self.capacity = capacity
         self.used = 0
         self.reserved = 0  # for another process of this relay, during a handover
+        self.on_release: Callable[[], None] = lambda: None  # called after each release
         self._holders: list[Holder | None] = []
         self._generations: list[int] = []
         self._free_places: list[int] = []
@@ -64,6 +66,7 @@
         self._generations[place] += 1
         self._free_places.append(place)
         self.used -= 1
+        self.on_release()
 
     def handles(self) -> list[int]:
         """Returns the handles of all holders, in the order of their slots."""
