--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -19,12 +19,12 @@
 from test_control import call, free_address
 
 from cedarledge.net import learned_state
-from cedarledge.net.handover import (
+from cedarledge.net.handover import socket_path
+from cedarledge.net.handover_messages import (
     VERSION,
     HandoverMessageError,
     encode_message,
     parse_handover_state,
-    socket_path,
 )
 from cedarledge.policy import utilization
 from cedarledge.policy.estimators import mean_load
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,7 +22,7 @@
 from cedarledge.net.backends import BackendConnector
 from cedarledge.net.buffers import BufferPool, NoBufferError
 from cedarledge.net.clients import MAX_LOAD_HINT, MalformedError, parse_open_request
-from cedarledge.net.discovery import HttpError, HttpReader
+from cedarledge.net.http_reader import HttpError, HttpReader
 from cedarledge.net.invariants import Invariants
 from cedarledge.net.line_connection import ConnectionContext
 from cedarledge.net.lines import BUFFER_SIZE, MAX_LINE_BYTES, LineBuffer, LineTooLongError
--- a/tests/test_request_ids.py
+++ b/tests/test_request_ids.py
@@ -17,7 +17,8 @@
 from test_handover import RestartableRelay, connect_to, restartable_relay
 from twisted.internet.task import Clock
 
-from cedarledge.net.handover import VERSION, encode_message, socket_path
+from cedarledge.net.handover import socket_path
+from cedarledge.net.handover_messages import VERSION, encode_message
 from cedarledge.net.request_ids import CLAIM_TIMEOUT, ClaimResult, RequestIds
 from cedarledge.net.timers import Timers
 from cedarledge.terms import SECOND
